--- /dev/null
+++ b/crates/wire/src/news.rs
@@ -0,0 +1,90 @@
+//! News, and the reports that ask for it.
+use crate::prelude::*;
+
+/// A daemon as it presents itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub id: Daemon,
+    pub zone: Zone,
+    /// For siblings.
+    pub addr: String,
+    /// For callers and operators.
+    pub http: String,
+    pub life: Mark,
+    /// The mark of its data folder, if it has one.
+    pub disk: Mark,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Worker {
+    pub id: WorkerId,
+    pub service: String,
+    pub addr: String,
+    pub zone: Zone,
+    pub draining: bool,
+}
+
+/// Where a partition is kept now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placing {
+    pub keeper: Daemon,
+    pub epoch: Epoch,
+}
+
+/// One source's whole state at its version.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Item {
+    Charter(String),
+    Workers(Vec<Worker>),
+    Members(Vec<Member>),
+    Places(Vec<(Place, Placing)>),
+    Orders { empty: BTreeSet<Zone>, drained: BTreeSet<WorkerId> },
+}
+
+impl Item {
+    pub fn source(&self) -> Source {
+        match self {
+            Item::Charter(_) => Source::Charter,
+            Item::Workers(_) => Source::Workers,
+            Item::Members(_) => Source::Members,
+            Item::Places(_) => Source::Places,
+            Item::Orders { .. } => Source::Orders,
+        }
+    }
+}
+
+/// A duty granted. `set` is a partition's write set with the marks that count.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    pub duty: Duty,
+    pub epoch: Epoch,
+    pub set: Vec<(Daemon, Mark)>,
+}
+
+/// One duty its holder says it holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Claim {
+    pub duty: Duty,
+    pub epoch: Epoch,
+    /// Read from the checkpoint after a restart, not from memory.
+    pub checkpoint: bool,
+}
+
+/// What store and delivery daemons tell of their soft state with every pull:
+/// the design's grants, requests and assigned places.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub claims: Vec<Claim>,
+    /// Deliveries: the store each partition is fetched from (assigned places).
+    pub assigned: Vec<(Place, Daemon)>,
+    /// Deliveries: duties with messages waiting (requests).
+    pub wanted: Vec<(Duty, u32)>,
+    /// Stores: which delivery was last seen at each duty (worker evidence).
+    pub seen: Vec<(Duty, Daemon)>,
+    /// Stores: messages held in each partition kept.
+    pub held: Vec<(Place, u64)>,
+    /// Stores: siblings that now hold a partition in full under this mark.
+    pub whole: Vec<(Place, Daemon, Mark)>,
+    /// The daemon is going away and takes nothing new.
+    pub leaving: bool,
+}
