--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -46,9 +46,15 @@
 /// A keeper's word on a carried message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Carried {
-    Accepted { stage: Stage },
+    Accepted {
+        stage: Stage,
+    },
     /// It never runs; `after` says when to come back.
-    NotTaken { why: String, after: Span, code: u16 },
+    NotTaken {
+        why: String,
+        after: Span,
+        code: u16,
+    },
     Conflict,
     /// Not the keeper (any more): nothing was written.
     Elsewhere,
@@ -67,37 +73,130 @@
 pub enum Msg {
     Hard(Talk<Order>),
     Beat(Beat),
-    Doubts { who: Vec<(Daemon, Mark, Doubt)> },
+    Doubts {
+        who: Vec<(Daemon, Mark, Doubt)>,
+    },
 
     // News and leases: one pull serves both.
-    Need { asked: Time, have: Vector, me: Member, report: Option<Report> },
-    News { asked: Time, term: Term, fresh: Option<Span>, items: Vec<(Version, Item)>, grants: Vec<Grant>, late: Vec<Daemon> },
-    NotPrimary { hint: Option<Daemon> },
+    Need {
+        asked: Time,
+        have: Vector,
+        me: Member,
+        report: Option<Report>,
+    },
+    News {
+        asked: Time,
+        term: Term,
+        fresh: Option<Span>,
+        items: Vec<(Version, Item)>,
+        grants: Vec<Grant>,
+        late: Vec<Daemon>,
+    },
+    NotPrimary {
+        hint: Option<Daemon>,
+    },
 
     // Callers' messages.
-    Carry { ask: u64, proxy: Daemon, via: Option<Daemon>, again: bool, place: Place, version: Version, head: Head, body: Bytes },
-    Carried { ask: u64, proxy: Daemon, via: Option<Daemon>, word: Carried },
-    Peek { ask: u64, place: Place, id: MessageId, body: bool },
+    Carry {
+        ask: u64,
+        proxy: Daemon,
+        via: Option<Daemon>,
+        again: bool,
+        place: Place,
+        version: Version,
+        head: Head,
+        body: Bytes,
+    },
+    Carried {
+        ask: u64,
+        proxy: Daemon,
+        via: Option<Daemon>,
+        word: Carried,
+    },
+    Peek {
+        ask: u64,
+        place: Place,
+        id: MessageId,
+        body: bool,
+    },
     /// `None`: not the keeper. `Some(None)`: no such message.
-    Peeked { ask: u64, found: Option<Option<(Head, Stage, Option<Bytes>)>> },
+    Peeked {
+        ask: u64,
+        found: Option<Option<(Head, Stage, Option<Bytes>)>>,
+    },
 
     // Replication of partitions.
-    Seal { place: Place, epoch: Epoch },
-    Sealed { place: Place, epoch: Epoch, fence: Fence },
-    Refused { place: Place, promised: Epoch },
+    Seal {
+        place: Place,
+        epoch: Epoch,
+    },
+    Sealed {
+        place: Place,
+        epoch: Epoch,
+        fence: Fence,
+    },
+    Refused {
+        place: Place,
+        promised: Epoch,
+    },
     /// "You lack my epoch; if you stand exactly here, adopt it, else fetch."
-    Lag { place: Place, epoch: Epoch, was: Option<(Epoch, u64)> },
-    Fetch { place: Place, epoch: Epoch },
-    Fetched { place: Place, epoch: Epoch, digest: Digest },
-    Want { place: Place, epoch: Epoch, ids: Vec<MessageId> },
-    Bodies { place: Place, epoch: Epoch, all: Vec<(MessageId, Bytes)> },
-    Append { place: Place, epoch: Epoch, first: u64, ops: Vec<Op> },
-    Appended { place: Place, epoch: Epoch, upto: u64, mark: Mark },
-    Gap { place: Place, epoch: Epoch, installed: Epoch, n: u64 },
+    Lag {
+        place: Place,
+        epoch: Epoch,
+        was: Option<(Epoch, u64)>,
+    },
+    Fetch {
+        place: Place,
+        epoch: Epoch,
+    },
+    Fetched {
+        place: Place,
+        epoch: Epoch,
+        digest: Digest,
+    },
+    Want {
+        place: Place,
+        epoch: Epoch,
+        ids: Vec<MessageId>,
+    },
+    Bodies {
+        place: Place,
+        epoch: Epoch,
+        all: Vec<(MessageId, Bytes)>,
+    },
+    Append {
+        place: Place,
+        epoch: Epoch,
+        first: u64,
+        ops: Vec<Op>,
+    },
+    Appended {
+        place: Place,
+        epoch: Epoch,
+        upto: u64,
+        mark: Mark,
+    },
+    Gap {
+        place: Place,
+        epoch: Epoch,
+        installed: Epoch,
+        n: u64,
+    },
 
     // Delivery.
-    Room { asked: Time, duties: Vec<(Duty, Epoch, u32)>, holding: Vec<Holding> },
-    Offers { asked: Time, all: Vec<Offer> },
-    Settled { all: Vec<Settled> },
-    Noted { all: Vec<(Place, Epoch, u64)> },
+    Room {
+        asked: Time,
+        duties: Vec<(Duty, Epoch, u32)>,
+        holding: Vec<Holding>,
+    },
+    Offers {
+        asked: Time,
+        all: Vec<Offer>,
+    },
+    Settled {
+        all: Vec<Settled>,
+    },
+    Noted {
+        all: Vec<(Place, Epoch, u64)>,
+    },
 }
--- a/crates/wire/src/step.rs
+++ b/crates/wire/src/step.rs
@@ -12,16 +12,43 @@
 /// What callers and operators ask.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ask {
-    Hand { tenant: String, waitlist: String, id: MessageId, key: String, desk: String, ttl: Option<Span>, again: bool, body: Bytes },
-    Look { tenant: String, waitlist: String, id: MessageId, key: String, body: bool },
+    Hand {
+        tenant: String,
+        waitlist: String,
+        id: MessageId,
+        key: String,
+        desk: String,
+        ttl: Option<Span>,
+        again: bool,
+        body: Bytes,
+    },
+    Look {
+        tenant: String,
+        waitlist: String,
+        id: MessageId,
+        key: String,
+        body: bool,
+    },
     Status,
     CharterShow,
     Apply(Charge),
-    Zone { zone: Zone, empty: bool },
-    Drain { worker: WorkerId, on: bool },
-    Retire { store: Daemon },
+    Zone {
+        zone: Zone,
+        empty: bool,
+    },
+    Drain {
+        worker: WorkerId,
+        on: bool,
+    },
+    Retire {
+        store: Daemon,
+    },
     /// What would move under this charter or order, without moving it.
-    Plan { charter: Option<String>, empty: Option<Zone>, retire: Option<Daemon> },
+    Plan {
+        charter: Option<String>,
+        empty: Option<Zone>,
+        retire: Option<Daemon>,
+    },
 }
 
 /// A charter handed in: whole, or as a patch of the base.
@@ -78,7 +105,10 @@
 pub enum Event {
     /// A clock event; nothing else happened.
     Clock,
-    Hear { from: Daemon, msg: Msg },
+    Hear {
+        from: Daemon,
+        msg: Msg,
+    },
     /// Everything up to and with save `n` is synced.
     Saved(u64),
     Ask(AskId, Ask),
@@ -91,7 +121,11 @@
 pub enum Effect {
     Say(Daemon, Msg),
     /// Write aside, sync, rename, sync the folder; saves end in order.
-    Save { n: u64, name: String, bytes: Bytes },
+    Save {
+        n: u64,
+        name: String,
+        bytes: Bytes,
+    },
     Remove(String),
     Tell(AskId, Verdict),
     Call(CallId, Call),
