--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -43,6 +43,17 @@
     pub id: MessageId,
 }
 
+/// How many attempts of one duty a delivery takes from one store at once.
+/// `since` is how long it has held the duty without a break: when that is
+/// longer than any attempt, its `holding` names all attempts under way.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Room {
+    pub duty: Duty,
+    pub epoch: Epoch,
+    pub room: u32,
+    pub since: Span,
+}
+
 /// A keeper's word on a carried message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Carried {
@@ -186,7 +197,8 @@
     // Delivery.
     Room {
         asked: Time,
-        duties: Vec<(Duty, Epoch, u32)>,
+        duties: Vec<Room>,
+        places: Vec<(Place, Epoch)>,
         holding: Vec<Holding>,
     },
     Offers {
--- a/crates/wire/src/news.rs
+++ b/crates/wire/src/news.rs
@@ -22,6 +22,8 @@
     pub addr: String,
     pub zone: Zone,
     pub draining: bool,
+    /// How long the primary had listed it when this version was made.
+    pub age: Span,
 }
 
 /// Where a partition is kept now.
--- a/crates/wire/src/prelude.rs
+++ b/crates/wire/src/prelude.rs
@@ -1,13 +1,12 @@
 //! The one import of every file that speaks between processes.
 pub use crate::envelope::{decode, encode, Envelope, FrameError, FRAME_MAX, SPEECH};
 pub use crate::hard::{Order, Retirement};
-pub use crate::message::{Digest, Head, Op, Outcome, Stage};
-pub use crate::msg::{Carried, Fence, Holding, Msg, Offer, Settled, Told};
+pub use crate::message::{crc32, Digest, Head, Op, Outcome, Stage};
+pub use crate::msg::{Carried, Fence, Holding, Msg, Offer, Room, Settled, Told};
 pub use crate::news::{Claim, Grant, Item, Member, Placing, Report, Worker};
 pub use crate::note::{Level, Note};
 pub use crate::step::{Ask, AskId, Call, CallId, Charge, Core, Effect, Event, Reply, Sent, Verdict};
 pub use bytes::Bytes;
 pub use dw_election::prelude::Talk;
 pub use dw_lease::prelude::*;
-pub use dw_membership::prelude::{Beat, Doubt, Spot, Watch};
-pub use dw_types::prelude::*;
+pub use dw_membership::prelude::{Beat, Doubt, Pace as BeatPace, Spot, Watch};
