--- a/crates/delivery/src/run.rs
+++ b/crates/delivery/src/run.rs
@@ -125,6 +125,12 @@
         }
         self.start_all(now);
         if let Some(since) = self.leaving {
+            for (duty, _) in self.link.held.live(now) {
+                if !self.hands.values().any(|h| h.offer.duty == duty) {
+                    self.link.held.give_up(&duty);
+                    self.link.hurry(now);
+                }
+            }
             let idle = self.hands.is_empty() && self.link.held.live(now).is_empty();
             if idle || now.since(since) > Span::secs(8) {
                 self.out.push(Effect::Gone);
--- /dev/null
+++ b/crates/placement/src/primary/grants.rs
@@ -0,0 +1,194 @@
+//! The map of places: rebuilt at a take-over, reconciled with the charter.
+use crate::prelude::*;
+
+/// Heard within this, a daemon may be granted something new.
+const LIVE: Span = Span::millis(1400);
+
+impl Placement {
+    pub(super) fn all_reported(&self) -> bool {
+        let due = |m: &&Member| matches!(m.id.kind(), Kind::Store | Kind::Delivery);
+        let mut all = self.hard.members.values().filter(due).peekable();
+        all.peek().is_some() && all.all(|m| self.seen.get(&m.id).is_some_and(|s| s.report.is_some()))
+    }
+
+    pub(super) fn repopulate(&mut self, now: Time) {
+        let members: BTreeSet<Daemon> = self.hard.members.keys().cloned().collect();
+        let built = rebuild(&self.rules.duties(), &members, &self.seen);
+        let end = self.startup.terms.giver_end(now);
+        for (duty, (holder, epoch)) in built.firm {
+            let from_disk = self
+                .seen
+                .get(&holder)
+                .and_then(|s| s.report.as_ref())
+                .is_some_and(|r| r.claims.iter().any(|c| c.duty == duty && c.checkpoint));
+            self.given.adopt(duty.clone(), holder.clone(), epoch, end);
+            if from_disk {
+                // Its memory is gone: the same holder, under a new epoch.
+                self.given.renew_life(&duty, &holder, now);
+            }
+        }
+        let hold = now + self.startup.hold;
+        for (duty, store) in built.reserved {
+            self.given.reserve(duty, store, hold);
+        }
+        for d in &built.late {
+            self.note(Note::Late, d.to_string());
+        }
+        for (duty, owner) in built.placeheld {
+            self.note(Note::Placeheld, format!("{duty} for {owner}"));
+            self.given.reserve(duty, owner, hold);
+        }
+        self.late = built.late;
+        self.turn(Office::Serving, now);
+        self.publish();
+        self.reconcile(now);
+    }
+
+    /// A report while serving: reservations and placeholders give way to the
+    /// holder's own word, and a new life gets new epochs.
+    pub(super) fn take_report(&mut self, from: &Daemon, report: &Report, anew: bool, now: Time) {
+        if self.late.remove(from) {
+            self.note(Note::Placeback, format!("{from} is no longer late"));
+        }
+        let claims: BTreeMap<&Duty, &Claim> = report.claims.iter().map(|c| (&c.duty, c)).collect();
+        let mine: Vec<(Duty, Epoch, Time)> =
+            self.given.iter().filter(|(_, g)| g.holder == *from).map(|(d, g)| (d.clone(), g.epoch, g.until)).collect();
+        for (duty, epoch, until) in mine {
+            let claim = claims.get(&duty);
+            if report.leaving && claim.is_none() {
+                self.given.release(&duty, from);
+                continue;
+            }
+            if now >= until {
+                continue;
+            }
+            if epoch == Epoch::ZERO {
+                let live = claim.filter(|c| !c.checkpoint && !anew);
+                let Some(c) = live else {
+                    self.given.renew_life(&duty, from, now);
+                    continue;
+                };
+                if self.given.confirm(&duty, from, c.epoch, now) {
+                    self.note(Note::Placeback, format!("{duty} at {from}"));
+                }
+            } else if anew || claim.is_some_and(|c| c.checkpoint) {
+                self.given.renew_life(&duty, from, now);
+            }
+        }
+        // A live claim nobody else holds, told after the window closed.
+        let duties = self.rules.duties();
+        for c in report.claims.iter().filter(|c| !c.checkpoint && !report.leaving) {
+            if self.given.free(&c.duty, now) && self.given.get(&c.duty).is_none() && duties.contains(&c.duty) {
+                self.given.adopt(c.duty.clone(), from.clone(), c.epoch, self.startup.terms.giver_end(now));
+            }
+        }
+        for (place, store, mark) in &report.whole {
+            let set = self.hard.layout.get(place);
+            let known = self.seen.get(store).is_some_and(|s| s.disk == *mark);
+            if known && set.is_some_and(|s| s.iter().any(|(d, m)| d == store && m != mark)) {
+                let order = Order::Reseat { place: place.clone(), out: store.clone(), put: (store.clone(), *mark) };
+                self.propose_once(format!("reseat {place} {store}"), order, now);
+            }
+        }
+    }
+
+    fn live(&self, d: &Daemon, now: Time) -> bool {
+        let doubted =
+            self.doubts.get(d).is_some_and(|by| by.values().filter(|t| now.since(**t) < Span::millis(2500)).count() >= 2);
+        let heard = self.seen.get(d).is_some_and(|s| now.since(s.at) < LIVE && s.report.as_ref().is_some_and(|r| !r.leaving));
+        let retired = self.hard.retiring.get(d).is_some_and(|r| *r != Retirement::None);
+        heard && !retired && !(doubted && now.since(self.seen[d].at) > Span::millis(600))
+    }
+
+    /// Grants what the charter calls for and nobody holds.
+    pub(super) fn reconcile(&mut self, now: Time) {
+        let duties = self.rules.duties();
+        let gone: Vec<Duty> =
+            self.given.iter().filter(|(_, g)| now >= g.until && g.epoch == Epoch::ZERO).map(|(d, _)| d.clone()).collect();
+        for d in gone {
+            self.note(Note::Reclaimed, d.to_string());
+        }
+        // What nobody accounts for may still be held under an earlier term.
+        let sure = now >= self.startup.terms.giver_end(self.won);
+        let free: Vec<Duty> =
+            duties.iter().filter(|d| self.given.free(d, now) && (sure || self.given.get(d).is_some())).cloned().collect();
+        if free.is_empty() {
+            return self.publish();
+        }
+        self.lay_out(&free, now);
+        let mut loads: BTreeMap<Daemon, usize> = BTreeMap::new();
+        for (d, g) in self.given.iter().filter(|(_, g)| now < g.until) {
+            let weight = if matches!(d, Duty::Endpoint(_)) { 1 } else { 2 };
+            *loads.entry(g.holder.clone()).or_default() += weight;
+        }
+        for duty in free {
+            let fit: Vec<Daemon> = match &duty {
+                Duty::Keep(place) => {
+                    let Some(set) = self.hard.layout.get(place) else { continue };
+                    set.iter().filter(|(d, m)| self.live(d, now) && self.seen[d].disk == *m).map(|(d, _)| d.clone()).collect()
+                }
+                _ => self.hard.of(Kind::Delivery).map(|m| m.id.clone()).filter(|d| self.live(d, now)).collect(),
+            };
+            let spread = |d: &Daemon| hash_of(format!("{duty}@{d}").as_bytes());
+            let Some(best) = fit.into_iter().min_by_key(|d| (loads.get(d).copied().unwrap_or(0), spread(d))) else {
+                continue;
+            };
+            let Some(epoch) = self.given.give(duty.clone(), best.clone(), now) else { continue };
+            *loads.entry(best.clone()).or_default() += 2;
+            self.note(Note::Granted, format!("{duty} to {best} epoch {epoch}"));
+        }
+        self.publish();
+    }
+
+    /// Write sets for partitions that have none: three stores, zones apart.
+    fn lay_out(&mut self, free: &[Duty], now: Time) {
+        let mut stores: Vec<(Daemon, Zone, Mark)> = self
+            .hard
+            .of(Kind::Store)
+            .filter(|m| self.live(&m.id, now))
+            .map(|m| (m.id.clone(), m.zone.clone(), self.seen[&m.id].disk))
+            .collect();
+        if stores.len() < 3 {
+            return;
+        }
+        let mut lay = BTreeMap::new();
+        for duty in free {
+            let Duty::Keep(place) = duty else { continue };
+            if self.hard.layout.contains_key(place) {
+                continue;
+            }
+            stores.sort_by_key(|s| hash_of(format!("{place}@{}", s.0).as_bytes()));
+            let mut set: Vec<(Daemon, Mark)> = Vec::new();
+            let mut zones = BTreeSet::new();
+            for far in [true, false] {
+                for (d, z, m) in &stores {
+                    let new = zones.insert(z.clone());
+                    if set.len() < 3 && (new || !far) && !set.iter().any(|x| x.0 == *d) {
+                        set.push((d.clone(), *m));
+                    }
+                }
+            }
+            lay.insert(place.clone(), set);
+        }
+        if !lay.is_empty() {
+            self.propose_once("layout".into(), Order::Layout(lay), now);
+        }
+    }
+
+    /// Makes a new version of the places when any keeper changed.
+    pub(super) fn publish(&mut self) {
+        let placed: BTreeMap<Place, Placing> = self
+            .given
+            .iter()
+            .filter_map(|(d, g)| match d {
+                Duty::Keep(p) => Some((p.clone(), Placing { keeper: g.holder.clone(), epoch: g.epoch })),
+                _ => None,
+            })
+            .collect();
+        if placed == self.placed {
+            return;
+        }
+        self.placed = placed;
+        self.places_version.count += 1;
+    }
+}
--- /dev/null
+++ b/crates/shell/src/startup.rs
@@ -0,0 +1,221 @@
+//! The startup file: a process's place, and its times, checked against each
+//! other before anything starts.
+use crate::prelude::*;
+use snafu::{ensure, OptionExt, ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+#[derive(Debug, Snafu)]
+pub enum StartupError {
+    #[snafu(display("the startup file {} can't be read: {source}; name an existing file with --startup", path.display()))]
+    Missing { path: PathBuf, source: std::io::Error },
+    #[snafu(display("the startup file {} is faulty: {source}; its keys are in docs/startup.md", path.display()))]
+    Faulty { path: PathBuf, source: serde_json::Error },
+    #[snafu(display("'{key}' is '{value}', which is no address; write ip:port with an IP number"))]
+    Address { key: String, value: String },
+    #[snafu(display("'{key}' is '{value}'; write name=ip:port, as in placement-1=10.0.0.1:7000"))]
+    NamedAddress { key: String, value: String },
+    #[snafu(display("'id' is '{id}'; this program's ids begin with '{kind}-'"))]
+    WrongKind { id: String, kind: String },
+    #[snafu(display("'{key}' is missing; this program needs it"))]
+    Needed { key: String },
+    #[snafu(display("'seeds' names {count} daemons; name the three placement daemons"))]
+    Seeds { count: usize },
+    #[snafu(display("unsafe times: {why}; {remedy}"))]
+    Unsafe { why: String, remedy: String },
+}
+
+/// A daemon's name with its address.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Named {
+    pub id: Daemon,
+    pub addr: String,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Startup {
+    pub cluster: String,
+    pub id: String,
+    pub zone: String,
+    /// For siblings, TCP and UDP.
+    pub listen: String,
+    /// For callers and operators.
+    pub http: String,
+    #[serde(default)]
+    pub seeds: Vec<String>,
+    #[serde(default)]
+    pub data: Option<PathBuf>,
+    /// A proxy's agent.
+    #[serde(default)]
+    pub agent: Option<String>,
+    /// The platform's list, `ip:port/path`; placement only.
+    #[serde(default)]
+    pub platform: Option<String>,
+    #[serde(default)]
+    pub times: Times,
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+/// All in milliseconds but `drift_percent`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Times {
+    pub pull: u64,
+    pub lease: u64,
+    pub drift_percent: u64,
+    pub charter_lease: u64,
+    pub election_still: u64,
+    pub election_beat: u64,
+    pub window: u64,
+    pub hold: u64,
+    pub poll: u64,
+    pub second_way: u64,
+    pub give_up: u64,
+    pub backoff: u64,
+    pub backoff_max: u64,
+}
+
+impl Default for Times {
+    fn default() -> Times {
+        Times {
+            pull: 400,
+            lease: 3000,
+            drift_percent: 5,
+            charter_lease: 2500,
+            election_still: 900,
+            election_beat: 200,
+            window: 1000,
+            hold: 3200,
+            poll: 1000,
+            second_way: 400,
+            give_up: 2000,
+            backoff: 200,
+            backoff_max: 10_000,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// Bytes of bodies a store holds.
+    pub bytes: u64,
+    /// Messages a store holds.
+    pub messages: u64,
+    /// Carries a proxy has under way.
+    pub seats: u64,
+    /// Attempts a delivery has in hand.
+    pub hands: usize,
+    /// Entries of the ring into the core.
+    pub ring: usize,
+    /// Frames waiting for one sibling.
+    pub frames: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { bytes: 80 << 20, messages: 150_000, seats: 256, hands: 2048, ring: 8192, frames: 2048 }
+    }
+}
+
+impl Times {
+    pub fn terms(&self) -> Terms {
+        Terms { length: Span::millis(self.lease), drift: self.drift_percent }
+    }
+    /// The longest a partition can be without service after one hard fault:
+    /// both leases out, a primary elected, reports in, resting attempts over.
+    pub fn budget(&self) -> u64 {
+        let lease = self.lease * (100 + self.drift_percent) / 100;
+        let elect = self.election_still * 3;
+        elect + self.window + lease.max(self.hold) + self.pull * 2 + 1000
+    }
+    pub fn check(&self) -> Result<(), StartupError> {
+        let rules = [
+            (self.pull * 3 > self.lease, "times.pull is over a third of times.lease", "pull three times within a lease"),
+            (
+                self.pull * 3 > self.charter_lease,
+                "times.pull is over a third of times.charter_lease",
+                "pull three times within it",
+            ),
+            (
+                self.charter_lease > 2800,
+                "times.charter_lease is over 2800",
+                "keep it at 2800 or less, so that a charter is in force within 3 s",
+            ),
+            (
+                self.election_beat * 3 > self.election_still,
+                "times.election_beat is over a third of times.election_still",
+                "beat three times within it",
+            ),
+            (
+                self.hold * 100 < self.lease * (100 + self.drift_percent),
+                "times.hold is shorter than a lease and its margin",
+                "hold reservations at least as long as a lease can run",
+            ),
+            (!(1..=20).contains(&self.drift_percent), "times.drift_percent is not within 1 to 20", "use 5"),
+            (self.pull == 0 || self.poll == 0 || self.backoff == 0, "a pace is zero", "give each at least 1 ms"),
+            (self.give_up <= self.second_way, "times.give_up is not over times.second_way", "leave time for the second way"),
+            (
+                self.budget() > 12_000,
+                "service could take over 12 s to come back after a hard fault",
+                "shorten times.lease, times.hold, times.window or times.election_still",
+            ),
+        ];
+        for (bad, why, remedy) in rules {
+            ensure!(!bad, UnsafeSnafu { why, remedy });
+        }
+        Ok(())
+    }
+}
+
+fn named(key: &str, value: &str) -> Result<Named, StartupError> {
+    let (id, addr) = value.split_once('=').context(NamedAddressSnafu { key, value })?;
+    addr.parse::<SocketAddr>().ok().context(NamedAddressSnafu { key, value })?;
+    Ok(Named { id: Daemon(id.to_string()), addr: addr.to_string() })
+}
+
+impl Startup {
+    pub fn read(path: &Path) -> Result<Startup, StartupError> {
+        let text = std::fs::read_to_string(path).context(MissingSnafu { path })?;
+        serde_json::from_str(&text).context(FaultySnafu { path })
+    }
+
+    /// Checks everything that can be checked without starting.
+    pub fn check(&self, kind: &str) -> Result<(), StartupError> {
+        ensure!(self.id.starts_with(&format!("{kind}-")), WrongKindSnafu { id: &self.id, kind });
+        for (key, value) in [("listen", &self.listen), ("http", &self.http)] {
+            ensure!(value.parse::<SocketAddr>().is_ok(), AddressSnafu { key, value });
+        }
+        ensure!(!self.cluster.is_empty(), NeededSnafu { key: "cluster" });
+        ensure!(!self.zone.is_empty(), NeededSnafu { key: "zone" });
+        if kind == "proxy" {
+            self.agent()?;
+        } else {
+            ensure!(self.seeds.len() == 3, SeedsSnafu { count: self.seeds.len() });
+            self.seeds()?;
+        }
+        if matches!(kind, "placement" | "store") {
+            ensure!(self.data.is_some(), NeededSnafu { key: "data" });
+        }
+        self.times.check()
+    }
+    pub fn seeds(&self) -> Result<Vec<Named>, StartupError> {
+        self.seeds.iter().map(|s| named("seeds", s)).collect()
+    }
+    pub fn agent(&self) -> Result<Named, StartupError> {
+        let a = self.agent.as_ref().context(NeededSnafu { key: "agent" })?;
+        named("agent", a)
+    }
+    pub fn member(&self, life: Mark) -> Member {
+        Member {
+            id: Daemon(self.id.clone()),
+            zone: Zone(self.zone.clone()),
+            addr: self.listen.clone(),
+            http: self.http.clone(),
+            life,
+            disk: Mark(0),
+        }
+    }
+}
--- a/crates/versions/src/link.rs
+++ b/crates/versions/src/link.rs
@@ -198,6 +198,7 @@
                 for x in &m {
                     if self.members.get(&x.id).is_none_or(|y| y.addr != x.addr) {
                         out.push(Effect::Learn(x.id.clone(), x.addr.clone()));
+                        out.push(Effect::Zone(x.id.clone(), x.zone.clone()));
                     }
                 }
                 self.members = m.into_iter().map(|m| (m.id.clone(), m)).collect();
--- a/crates/waitlist/src/store.rs
+++ b/crates/waitlist/src/store.rs
@@ -240,6 +240,7 @@
             self.sweep(now);
         }
         if let Some(since) = self.leaving {
+            self.hand_over(now);
             let idle = self.parts.values().all(|p| p.own.is_none());
             if idle || now.since(since) > Span::secs(8) {
                 self.out.push(Effect::Gone);
@@ -269,7 +270,10 @@
             Msg::Carried { ask, proxy, via, word } if proxy != self.startup.me.id => {
                 self.say(&proxy.clone(), Msg::Carried { ask, proxy, via, word })
             }
-            Msg::Peek { ask, place, id, body } => self.on_peek(from, ask, place, id, body, now),
+            Msg::Peeked { ask, proxy, via, found } if proxy != self.startup.me.id => {
+                self.say(&proxy.clone(), Msg::Peeked { ask, proxy, via, found })
+            }
+            Msg::Peek { ask, proxy, via, place, id, body } => self.on_peek(from, ask, proxy, via, place, id, body, now),
             Msg::Seal { place, epoch } => self.on_seal(from, place, epoch, now),
             Msg::Sealed { place, epoch, fence } => self.on_sealed(from, place, epoch, fence, now),
             Msg::Refused { place, promised } => self.on_refused(place, promised, now),
--- a/crates/waitlist/src/store/carry.rs
+++ b/crates/waitlist/src/store/carry.rs
@@ -162,22 +162,40 @@
         }
     }
 
-    pub(super) fn on_peek(&mut self, from: Daemon, ask: u64, place: Place, id: MessageId, body: bool, now: Time) {
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn on_peek(
+        &mut self,
+        from: Daemon,
+        ask: u64,
+        proxy: Daemon,
+        via: Option<Daemon>,
+        place: Place,
+        id: MessageId,
+        body: bool,
+        now: Time,
+    ) {
         if !self.serving(&place, now) {
-            return self.say(&from, Msg::Peeked { ask, found: None });
+            let me = self.startup.me.id.clone();
+            let keeper = self.link.places.get(&place).map(|p| p.keeper.clone());
+            if let (Some(keeper), None, true) = (keeper.filter(|k| *k != me), &via, from.kind() == Kind::Proxy) {
+                return self.say(&keeper, Msg::Peek { ask, proxy, via: Some(me), place, id, body });
+            }
+            let to = via.clone().unwrap_or(proxy.clone());
+            return self.say(&to, Msg::Peeked { ask, proxy, via, found: Found::Elsewhere });
         }
         let p = &self.parts[&place];
         let shown = p.own.as_ref().and_then(|o| o.shown.get(&id).copied());
         let found = match (p.recs.get(&id), shown) {
             // Not on two stores yet: nobody may count on it.
-            (_, Some(None)) => None,
-            (None, _) => Some(None),
+            (_, Some(None)) => Found::Elsewhere,
+            (None, _) => Found::Nothing,
             (Some(r), shown) => {
                 let stage = shown.flatten().unwrap_or(r.stage);
-                let bytes = (body && r.head.sound(&r.body)).then(|| r.body.clone());
-                Some(Some((r.head.clone(), stage, bytes)))
+                let body = (body && r.head.sound(&r.body)).then(|| r.body.clone());
+                Found::Here { head: r.head.clone(), stage, body }
             }
         };
-        self.say(&from, Msg::Peeked { ask, found });
+        let to = via.clone().unwrap_or(proxy.clone());
+        self.say(&to, Msg::Peeked { ask, proxy, via, found });
     }
 }
--- a/crates/waitlist/src/store/opening.rs
+++ b/crates/waitlist/src/store/opening.rs
@@ -11,6 +11,9 @@
             }
             self.restored = false;
             let Duty::Keep(place) = g.duty else { continue };
+            if self.leaving.is_some() {
+                continue;
+            }
             let p = self.parts.entry(place.clone()).or_default();
             if g.epoch < p.promised {
                 self.counts.fenced += 1;
@@ -176,6 +179,22 @@
         }
     }
 
+    /// Leaving: gives up each partition nobody waits on any more, so that
+    /// placement may grant it at once.
+    pub(super) fn hand_over(&mut self, now: Time) {
+        let idle: Vec<Place> = self
+            .parts
+            .iter()
+            .filter(|(_, p)| p.own.as_ref().is_some_and(|o| o.waits.is_empty()))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for place in idle {
+            self.close(&place, now);
+            self.link.held.give_up(&Duty::Keep(place));
+            self.link.hurry(now);
+        }
+    }
+
     /// No attempt handed out before is under way after this long.
     pub(super) fn bound(&self) -> Span {
         (self.link.rules.attempt_max() + GRACE).percent(110)
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -80,6 +80,19 @@
     pub n: u64,
 }
 
+/// A keeper's word on what it was asked about.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Found {
+    /// Not the keeper, or not certain yet.
+    Elsewhere,
+    Nothing,
+    Here {
+        head: Head,
+        stage: Stage,
+        body: Option<Bytes>,
+    },
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Msg {
     Hard(Talk<Order>),
@@ -126,14 +139,17 @@
     },
     Peek {
         ask: u64,
+        proxy: Daemon,
+        via: Option<Daemon>,
         place: Place,
         id: MessageId,
         body: bool,
     },
-    /// `None`: not the keeper. `Some(None)`: no such message.
     Peeked {
         ask: u64,
-        found: Option<Option<(Head, Stage, Option<Bytes>)>>,
+        proxy: Daemon,
+        via: Option<Daemon>,
+        found: Found,
     },
 
     // Replication of partitions.
--- a/crates/wire/src/step.rs
+++ b/crates/wire/src/step.rs
@@ -132,6 +132,8 @@
     Note(Note, String),
     /// Where a daemon listens.
     Learn(Daemon, String),
+    /// Which zone it stands in, for counting what crosses zones.
+    Zone(Daemon, Zone),
     /// All is drained; the process may end.
     Gone,
 }
