--- a/crates/delivery/src/run.rs
+++ b/crates/delivery/src/run.rs
@@ -52,6 +52,9 @@
     out: Vec<Effect>,
 }
 
+/// What one keeper is told: room for each duty, and the epochs known.
+type Rooms = (Vec<Room>, Vec<(Place, Epoch)>);
+
 const GRACE: Span = Span::secs(1);
 
 impl Delivery {
@@ -265,7 +268,7 @@
         if !self.link.fresh(now) {
             return;
         }
-        let mut by: BTreeMap<Daemon, (Vec<Room>, Vec<(Place, Epoch)>)> = BTreeMap::new();
+        let mut by: BTreeMap<Daemon, Rooms> = BTreeMap::new();
         for (p, x) in &self.link.places {
             by.entry(x.keeper.clone()).or_default().1.push((p.clone(), x.epoch));
         }
--- a/crates/delivery/src/worker.rs
+++ b/crates/delivery/src/worker.rs
@@ -34,11 +34,8 @@
         }
     }
     pub fn usable(&self, link: &Link, now: Time) -> bool {
-        !self.info.draining
-            && !self.draining
-            && !link.drained.contains(&self.info.id)
-            && !link.empty.contains(&self.info.zone)
-            && !self.down.open(now)
-            && !(self.down.wary() && self.busy > 0)
+        let leaving = self.info.draining || self.draining || link.drained.contains(&self.info.id);
+        let probed = self.down.wary() && self.busy > 0;
+        !leaving && !link.empty.contains(&self.info.zone) && !self.down.open(now) && !probed
     }
 }
--- a/crates/ingest/src/proxy.rs
+++ b/crates/ingest/src/proxy.rs
@@ -288,6 +288,7 @@
         }
     }
 
+    #[allow(clippy::too_many_arguments)]
     fn on_look(&mut self, ask: AskId, tenant: String, waitlist: String, id: MessageId, key: String, body: bool, now: Time) {
         self.counts.looked += 1;
         if !self.link.fresh(now) {
--- a/crates/waitlist/src/ledger.rs
+++ b/crates/waitlist/src/ledger.rs
@@ -79,6 +79,9 @@
     pub fold_at: usize,
 }
 
+/// The ledger, every line with its home, and files no longer needed.
+type Opened = (Ledger, Vec<(u64, Line)>, Vec<String>);
+
 fn name(first: u64, last: u64) -> String {
     format!("lines-{first:016x}-{last:016x}")
 }
@@ -91,7 +94,7 @@
 
 impl Ledger {
     /// Takes the folder's files; gives every line in order with its home.
-    pub fn open(files: &[(String, Bytes)]) -> Option<(Ledger, Vec<(u64, Line)>, Vec<String>)> {
+    pub fn open(files: &[(String, Bytes)]) -> Option<Opened> {
         let mut all: Vec<(u64, u64, &Bytes)> = files.iter().filter_map(|(n, b)| range(n).map(|(f, l)| (f, l, b))).collect();
         all.sort_by_key(|(f, l, _)| (*f, std::cmp::Reverse(*l)));
         let mut ledger = Ledger {
--- a/crates/waitlist/src/store/dispatch.rs
+++ b/crates/waitlist/src/store/dispatch.rs
@@ -287,10 +287,10 @@
             for (id, r) in &p.recs {
                 match r.stage {
                     Stage::Ended(_) if retain > Span::ZERO && now.since(r.ended) > retain => drop.push(id.clone()),
-                    Stage::Work if r.head.ttl.is_some_and(|t| now.since(r.taken) > t) => {
-                        if !own.lane.flights.contains_key(&r.head.seq) {
-                            old.push(id.clone());
-                        }
+                    Stage::Work
+                        if r.head.ttl.is_some_and(|t| now.since(r.taken) > t) && !own.lane.flights.contains_key(&r.head.seq) =>
+                    {
+                        old.push(id.clone());
                     }
                     _ => {}
                 }
--- a/programs/src/bin/fleet.rs
+++ b/programs/src/bin/fleet.rs
@@ -73,7 +73,13 @@
         return ExitCode::from(1);
     };
     let (code, good) = match rt.block_on(run(plan)) {
-        Ok((figures, good)) => {
+        Ok((mut figures, good)) => {
+            for p in figures["processes"].as_array_mut().into_iter().flatten() {
+                println!("{}", serde_json::to_string(p).unwrap_or_default());
+            }
+            if let Some(f) = figures.as_object_mut() {
+                f.remove("processes");
+            }
             println!("{}", serde_json::to_string_pretty(&figures).unwrap_or_default());
             println!("{}", if good { "no rule was broken" } else { "RULES WERE BROKEN, or something was left open" });
             (if good { ExitCode::SUCCESS } else { ExitCode::from(1) }, good)
--- a/programs/src/fleet/callers.rs
+++ b/programs/src/fleet/callers.rs
@@ -69,11 +69,11 @@
             n += 1;
             let list = k.lists[n as usize % k.lists.len()].clone();
             let desk = if k.desks.is_empty() { String::new() } else { k.desks[n as usize % k.desks.len()].clone() };
-            let poison = k.poison > 0 && n % k.poison == 0;
+            let poison = k.poison > 0 && n.is_multiple_of(k.poison);
             let me = self.clone();
             tokio::spawn(async move {
                 let (id, word) = me.hand(&list, "", 0, &desk, poison).await;
-                if word == Word::Accepted && n % 4 == 0 && !poison {
+                if word == Word::Accepted && n.is_multiple_of(4) && !poison {
                     me.follow(&list, &id, "").await;
                 }
             });
@@ -132,7 +132,7 @@
             }
             // A connection refused took nothing in, and says so by itself.
             let refused = said.as_ref().is_err_and(|e| e.contains("onnect"));
-            if !(refused && !again) {
+            if !refused || again {
                 self.world.note(|c| c.told(&name, word, now()));
             }
             if word != Word::Unknown || self.halt.load(Ordering::Relaxed) {
--- a/programs/src/fleet/run.rs
+++ b/programs/src/fleet/run.rs
@@ -230,6 +230,19 @@
     }
 }
 
+/// Whether a message's end is known and, if it was accepted, its state and
+/// bytes are read back.
+async fn close(callers: &Arc<Callers>, id: &str) -> bool {
+    let Some(m) = callers.world.note(|c| c.message(id).cloned()) else { return true };
+    if !m.words.iter().any(|w| w.1 == Word::Accepted) {
+        return m.words.last().is_some_and(|w| w.1 == Word::NotTaken);
+    }
+    let state = callers.look(&m.list, id, &m.key).await;
+    let over = state.is_some_and(|s| s != "waiting");
+    let owed = m.desk && !m.poison && m.backs.is_empty();
+    over && !owed && callers.look_body(&m.list, id, &m.key).await
+}
+
 /// Runs a plan; `Ok` holds the figures, and whether no rule was broken.
 pub async fn run(plan: Plan) -> Result<(Value, bool), String> {
     let from = Instant::now();
@@ -311,36 +324,22 @@
     println!("{:7.2} s  callers stop", begun.elapsed().as_secs_f64());
     let load = begun.elapsed().as_secs_f64();
     // All that was accepted must end; then it is read back, bytes and all.
-    let ids: Vec<String> = world.note(|c| c.ids());
     let settle = Instant::now();
-    let mut open: Vec<String> = ids.clone();
+    let mut shut = std::collections::BTreeSet::new();
+    let mut open: Vec<String> = world.note(|c| c.ids());
     while !open.is_empty() && settle.elapsed() < Duration::from_secs(60) {
-        let mut rest = Vec::new();
         for part in open.chunks(32) {
-            let reads = part.iter().map(|id| {
-                let m = world.note(|c| c.message(id).cloned());
-                let callers = callers.clone();
-                async move {
-                    let Some(m) = m else { return true };
-                    if !m.words.iter().any(|w| w.1 == Word::Accepted) {
-                        return m.words.last().is_some_and(|w| w.1 == Word::NotTaken);
-                    }
-                    let state = callers.look(&m.list, id, &m.key).await;
-                    let over = state.is_some_and(|s| s != "waiting");
-                    let owed = m.desk && !m.poison && m.backs.is_empty();
-                    over && !owed && callers.look_body(&m.list, id, &m.key).await
-                }
-            });
+            let reads = part.iter().map(|id| close(&callers, id));
             let done = futures_util::future::join_all(reads).await;
-            rest.extend(part.iter().zip(done).filter(|(_, d)| !d).map(|(id, _)| id.clone()));
-        }
-        open = rest;
-        if !open.is_empty() {
-            tokio::time::sleep(Duration::from_millis(500)).await;
+            shut.extend(part.iter().zip(done).filter(|(_, d)| *d).map(|(id, _)| id.clone()));
         }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        // Callers still under way may have added some.
+        open = world.note(|c| c.ids()).into_iter().filter(|id| !shut.contains(id)).collect();
     }
+    let ids = shut.len() + open.len();
     callers.halt.store(true, Ordering::Relaxed);
-    println!("{:7.2} s  read back; {} of {} left open", begun.elapsed().as_secs_f64(), open.len(), ids.len());
+    println!("{:7.2} s  read back; {} of {} left open", begun.elapsed().as_secs_f64(), open.len(), ids);
     let shown = order(&stage.fleet, http::Method::GET, "/v1/charter", String::new()).await?;
     if shown.json()["version"].as_str() != Some(&version) {
         world.note(|c| c.flag(format!("the charter reads back as {}", shown.json()["version"])));
--- a/programs/src/fleet/world.rs
+++ b/programs/src/fleet/world.rs
@@ -154,7 +154,7 @@
         return reply(500, 0, false, "{}".into());
     }
     seat.world.note(|c| c.ended(&id, n, !poison, now()));
-    if mood.lose > 0 && mood.count % mood.lose == 0 {
+    if mood.lose > 0 && mood.count.is_multiple_of(mood.lose) {
         // It ran; the answer is lost: the caller's time runs out.
         tokio::time::sleep(Duration::from_secs(6)).await;
     }
