--- /dev/null
+++ b/crates/sim/src/run.rs
@@ -0,0 +1,92 @@
+//! One run of one script under one seed.
+use crate::prelude::*;
+
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub seed: u64,
+    pub found: Found,
+    pub trace: Vec<String>,
+    pub counts: BTreeMap<&'static str, u64>,
+}
+
+/// How long after the load everything accepted may take to end.
+const SETTLE: Span = Span::secs(90);
+
+pub fn run(script: &Script, seed: u64, loud: bool, mutate: Option<fn(&mut Effect, &mut fastrand::Rng) -> bool>) -> Ran {
+    let mut w = World::new(seed, script.steps.clone(), script.run, script.rate);
+    w.loud = loud;
+    for id in names() {
+        w.start(&id, id.kind() == Kind::Placement);
+    }
+    // The house comes up before the script's clock starts.
+    let mut stated = Time(0);
+    while w.now < Time::millis(30_000) {
+        let Some(ev) = w.pop() else { break };
+        w.handle(ev);
+        if w.acked.is_none() && w.now.since(stated) > Span::millis(500) {
+            stated = w.now;
+            let shares = w.shares.clone();
+            w.state_charter("first", &shares, "0.0");
+        }
+        if w.acked.is_some() && w.now.since(stated) > Span::millis(200) {
+            stated = w.now;
+            if w.ready() {
+                break;
+            }
+        }
+    }
+    if !w.ready() {
+        w.check.flag("the house did not come up".into());
+    }
+    w.mutate = mutate;
+    let zero = w.now;
+    w.begin_load();
+    for n in 0..script.steps.len() {
+        let at = Time(zero.0 + script.steps[n].at.0);
+        w.at(at, Ev::Act(n));
+    }
+    let end = zero + script.run;
+    while w.now < end {
+        let Some(ev) = w.pop() else { break };
+        w.handle(ev);
+    }
+    w.stopped = true;
+    w.mutate = None;
+    w.soon(Span::millis(500), Ev::Settle);
+    let last = end + SETTLE;
+    while !w.over && w.now < last {
+        let Some(ev) = w.pop() else { break };
+        w.handle(ev);
+    }
+    if w.open > 0 {
+        let open = w.open;
+        w.check.flag(format!("{open} messages left open {SETTLE:?} after the load"));
+    }
+    // The charter, read back at day's end.
+    for _ in 0..10 {
+        w.operate(Ask::CharterShow, "", "show");
+        let next = w.now + Span::secs(1);
+        while w.now < next {
+            let Some(ev) = w.pop() else { break };
+            w.handle(ev);
+        }
+        if w.counts.contains_key("shown") {
+            break;
+        }
+    }
+    if !w.counts.contains_key("shown") {
+        w.check.flag("the charter could not be read back".into());
+    }
+    let now = w.now;
+    let mut found = w.check.finish(now);
+    if let Some(gap) = script.gap {
+        if found.longest_gap > gap {
+            let from = w.check.gap_from().since(zero);
+            found.broken.push(format!("no receipt for {:?} from {from:?}, at most {gap:?}", found.longest_gap));
+        }
+    }
+    if found.accepted < script.accepted {
+        found.broken.push(format!("{} accepted, {} expected", found.accepted, script.accepted));
+    }
+    Ran { seed, found, trace: w.trace.into(), counts: w.counts }
+}
