--- a/crates/placement/src/primary/grants.rs
+++ b/crates/placement/src/primary/grants.rs
@@ -62,6 +62,12 @@
             if now >= until {
                 continue;
             }
+            // A store whose folder was lost keeps nothing until its copies
+            // count again; its old life is over, so the place is free at once.
+            if !self.counts(&duty, from) {
+                self.given.release(&duty, from);
+                continue;
+            }
             if epoch == Epoch::ZERO {
                 let live = claim.filter(|c| !c.checkpoint && !anew);
                 let Some(c) = live else {
@@ -92,6 +98,13 @@
         }
     }
 
+    /// Whether a daemon's folder is one that counts for a duty.
+    fn counts(&self, duty: &Duty, d: &Daemon) -> bool {
+        let Duty::Keep(place) = duty else { return true };
+        let disk = self.seen.get(d).map(|s| s.disk);
+        self.hard.layout.get(place).is_some_and(|set| set.iter().any(|(x, m)| x == d && Some(*m) == disk))
+    }
+
     fn live(&self, d: &Daemon, now: Time) -> bool {
         let doubted =
             self.doubts.get(d).is_some_and(|by| by.values().filter(|t| now.since(**t) < Span::millis(2500)).count() >= 2);
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -61,6 +61,7 @@
     pub mutate: Option<fn(&mut Effect, &mut fastrand::Rng) -> bool>,
     shut: BTreeSet<usize>,
     pub over: bool,
+    pub popped: u64,
 }
 
 pub const TENANTS: [&str; 2] = ["curators", "partners"];
@@ -105,6 +106,7 @@
             mutate: None,
             shut: BTreeSet::new(),
             over: false,
+            popped: 0,
         };
         for e in ENDPOINTS {
             if !e.starts_with("desk") {
@@ -566,6 +568,7 @@
     pub fn pop(&mut self) -> Option<Ev> {
         let Reverse((t, n)) = self.heap.pop()?;
         self.now = t;
+        self.popped += 1;
         self.evs.remove(&n)
     }
 
--- a/crates/waitlist/src/store/carry.rs
+++ b/crates/waitlist/src/store/carry.rs
@@ -50,6 +50,8 @@
                 return self.say(&to, word(Carried::NotTaken { why, after, code }));
             }
             // An earlier sending may still be on its way: refuse it for good.
+            // Its bytes are not kept, so its checksum is that of none.
+            let head = Head { crc: crc32(b""), len: 0, ..head };
             let n = self.write(&place, Op::Put(head, Stage::Ended(Outcome::Refused), Bytes::new()), now);
             let word = Carried::NotTaken { why, after, code };
             return self.wait(&place, n, Wait::Carry { ask, proxy, via, word }, now);
--- a/crates/waitlist/src/store/copy.rs
+++ b/crates/waitlist/src/store/copy.rs
@@ -56,17 +56,19 @@
                 Some(h) => sib.sent = h,
             }
         }
-        // Repair: those fenced under a mark that does not count yet.
+        // Repair: those whose folder has another mark than the one that counts.
         let set = own.set.clone();
-        for (d, f) in own.fences.clone() {
-            let wants = set.iter().any(|(x, m)| *x == d && *m != f.mark);
-            if d == mate || !wants || own.phase != Phase::Serving {
+        let serving = own.phase == Phase::Serving;
+        for (d, mark) in &set {
+            let disk = self.link.members.get(d).map(|m| m.disk);
+            if !serving || *d == self.startup.me.id || disk.is_none_or(|m| m == *mark) {
                 continue;
             }
             let sib = own.sibs.entry(d.clone()).or_default();
-            if sib.have.is_none() && now.since(sib.asked) > Span::millis(1000) {
+            let whole = own.whole.get(d) == disk.as_ref();
+            if !whole && now.since(sib.asked) > Span::millis(1000) {
                 sib.asked = now;
-                lag.push(d);
+                lag.push(d.clone());
             }
         }
         // Those never fenced may have come back since.
@@ -222,9 +224,10 @@
         }
         f.asked = now;
         if all.is_empty() {
-            // Dropped there meanwhile: a newer digest no longer names them.
+            // Dropped there meanwhile: a newer digest, asked for at the next
+            // retry and never at once, no longer names them.
             f.digest = None;
-            return self.say(&from, Msg::Fetch { place, epoch });
+            return;
         }
         for (id, body) in all {
             if f.missing.remove(&id) {
@@ -393,7 +396,7 @@
     }
 
     /// What is synced here and on a counting sibling in another zone stands.
-    fn commit(&mut self, place: &Place, now: Time) {
+    pub(super) fn commit(&mut self, place: &Place, now: Time) {
         let zone = self.startup.me.zone.clone();
         let zones: BTreeSet<Daemon> = self.link.members.values().filter(|m| m.zone != zone).map(|m| m.id.clone()).collect();
         let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
--- a/crates/waitlist/src/store/opening.rs
+++ b/crates/waitlist/src/store/opening.rs
@@ -20,7 +20,14 @@
                 continue;
             }
             match &mut p.own {
-                Some(own) if own.epoch == g.epoch => own.set = g.set,
+                Some(own) if own.epoch == g.epoch => {
+                    let changed = own.set != g.set;
+                    own.set = g.set;
+                    if changed {
+                        // A copy acknowledged before may count from now on.
+                        self.commit(&place, now);
+                    }
+                }
                 _ => self.open(place, g.epoch, g.set, now),
             }
         }
@@ -28,6 +35,10 @@
 
     fn open(&mut self, place: Place, epoch: Epoch, set: Vec<(Daemon, Mark)>, now: Time) {
         self.close(&place, now);
+        // A folder that does not count must not be one of the two that do.
+        if !set.iter().any(|(d, m)| *d == self.startup.me.id && *m == self.mark) {
+            return;
+        }
         self.note(Note::Opening, format!("{place} epoch {epoch}"));
         let p = self.parts.entry(place.clone()).or_default();
         p.promised = epoch;
