--- a/crates/placement/src/primary/grants.rs
+++ b/crates/placement/src/primary/grants.rs
@@ -68,7 +68,9 @@
                 self.given.release(&duty, from);
                 continue;
             }
-            if epoch == Epoch::ZERO {
+            if report.spent.contains(&(duty.clone(), epoch)) {
+                self.given.renew_life(&duty, from, now);
+            } else if epoch == Epoch::ZERO {
                 let live = claim.filter(|c| !c.checkpoint && !anew);
                 let Some(c) = live else {
                     self.given.renew_life(&duty, from, now);
--- a/crates/waitlist/src/store.rs
+++ b/crates/waitlist/src/store.rs
@@ -58,6 +58,8 @@
     pub held_bytes: i64,
     checkpoint: BTreeMap<Duty, Epoch>,
     restored: bool,
+    /// Epochs granted again that were closed here; new ones are needed.
+    pub(crate) spent: BTreeMap<Duty, Epoch>,
     leaving: Option<Time>,
     pub counts: Counts,
     swept: Time,
@@ -97,6 +99,7 @@
             held_bytes: 0,
             checkpoint: BTreeMap::new(),
             restored: true,
+            spent: BTreeMap::new(),
             leaving: None,
             counts: Counts::default(),
             swept: now,
--- a/crates/waitlist/src/store/opening.rs
+++ b/crates/waitlist/src/store/opening.rs
@@ -20,6 +20,12 @@
                 continue;
             }
             match &mut p.own {
+                // An epoch is opened once: its numbers must not begin again.
+                None if g.epoch == p.promised => {
+                    let duty = Duty::Keep(place);
+                    self.link.held.give_up(&duty);
+                    self.spent.insert(duty, g.epoch);
+                }
                 Some(own) if own.epoch == g.epoch => {
                     let changed = own.set != g.set;
                     own.set = g.set;
@@ -39,6 +45,7 @@
         if !set.iter().any(|(d, m)| *d == self.startup.me.id && *m == self.mark) {
             return;
         }
+        self.spent.remove(&Duty::Keep(place.clone()));
         self.note(Note::Opening, format!("{place} epoch {epoch}"));
         let p = self.parts.entry(place.clone()).or_default();
         p.promised = epoch;
@@ -216,8 +223,10 @@
         let owned: Vec<Place> = self.parts.iter().filter(|(_, p)| p.own.is_some()).map(|(k, _)| k.clone()).collect();
         for place in owned {
             let duty = Duty::Keep(place.clone());
+            // A lease that ran out here pauses all acts. The state stays: the
+            // same epoch may come back, and then nobody else had the place;
+            // a higher one fences it.
             if self.link.may(&duty, now).is_none() {
-                self.close(&place, now);
                 continue;
             }
             let Some(own) = self.parts.get(&place).and_then(|p| p.own.as_ref()) else { continue };
--- a/crates/wire/src/news.rs
+++ b/crates/wire/src/news.rs
@@ -87,6 +87,8 @@
     pub held: Vec<(Place, u64)>,
     /// Stores: siblings that now hold a partition in full under this mark.
     pub whole: Vec<(Place, Daemon, Mark)>,
+    /// Grants whose epoch was closed by the holder: it needs a new one.
+    pub spent: Vec<(Duty, Epoch)>,
     /// The daemon is going away and takes nothing new.
     pub leaving: bool,
 }
