--- a/crates/delivery/src/run.rs
+++ b/crates/delivery/src/run.rs
@@ -165,6 +165,13 @@
         if change.sources.contains(&Source::Members) {
             self.watch.learn(self.link.spots(), now);
         }
+        if change.sources.contains(&Source::Charter) {
+            for (name, desk) in self.desks.iter_mut() {
+                if let Some(e) = self.link.rules.endpoints.get(name) {
+                    desk.allowance.rate(e.allowance);
+                }
+            }
+        }
         if change.sources.contains(&Source::Workers) || change.sources.contains(&Source::Charter) {
             self.learn_workers(now);
         }
--- a/crates/share/src/allowance.rs
+++ b/crates/share/src/allowance.rs
@@ -22,6 +22,10 @@
     pub fn new(rate: u32, since: Time) -> Allowance {
         Allowance { whole: u64::from(rate) * 5, since, sent: VecDeque::new() }
     }
+    /// A new charter states another rate; what was sent still counts.
+    pub fn rate(&mut self, rate: u32) {
+        self.whole = u64::from(rate) * 5;
+    }
     fn most(&self, now: Time) -> u64 {
         match now.since(self.since) < WINDOW {
             true => (self.whole * 9 / 100).max(1),
