Store looks for due work in one pass; reports are made only when sent

Cause: each step of a store scanned every partition for each of fifty duties, and made a full report fifty times a second.

--- a/crates/delivery/src/run.rs
+++ b/crates/delivery/src/run.rs
@@ -101,8 +101,8 @@
     }
 
     fn on_clock(&mut self, now: Time) {
-        let report = self.report(now);
-        let mut acts = self.link.tick(now, || Some(report));
+        let report = self.link.due(now).then(|| self.report(now));
+        let mut acts = self.link.tick(now, || report);
         self.out.append(&mut acts);
         for (to, beat) in self.watch.tick(now) {
             self.say(&to, Msg::Beat(beat));
--- a/crates/versions/src/link.rs
+++ b/crates/versions/src/link.rs
@@ -86,6 +86,11 @@
         self.held.may(duty, now)
     }
 
+    /// Whether the next tick will pull.
+    pub fn due(&self, now: Time) -> bool {
+        now >= self.due
+    }
+
     fn target(&self) -> Option<Daemon> {
         self.hint.clone().or_else(|| self.seeds.get(self.at % self.seeds.len().max(1)).cloned())
     }
--- a/crates/waitlist/src/store.rs
+++ b/crates/waitlist/src/store.rs
@@ -65,6 +65,8 @@
     swept: Time,
     paced: Time,
     dirty: BTreeSet<Place>,
+    /// Something may be due to be handed out.
+    stirred: bool,
     rng: fastrand::Rng,
     out: Vec<Effect>,
 }
@@ -105,6 +107,7 @@
             swept: now,
             paced: now,
             dirty: BTreeSet::new(),
+            stirred: false,
             rng,
             out,
         };
@@ -222,8 +225,10 @@
     }
 
     fn on_clock(&mut self, now: Time) {
-        let report = self.report(now);
-        let mut acts = self.link.tick(now, || Some(report));
+        self.stirred = true;
+        // A report names every grant; it is made only when it will be sent.
+        let report = self.link.due(now).then(|| self.report(now));
+        let mut acts = self.link.tick(now, || report);
         self.out.append(&mut acts);
         for (to, beat) in self.watch.tick(now) {
             self.say(&to, Msg::Beat(beat));
--- a/crates/waitlist/src/store/carry.rs
+++ b/crates/waitlist/src/store/carry.rs
@@ -150,11 +150,13 @@
                 let (Some(own), Some(r)) = (p.own.as_mut(), p.recs.get(&id)) else { return };
                 own.shown.remove(&id);
                 own.lane.enter(&r.head, r.stage, now);
+                self.stirred = true;
             }
             Wait::Staged { id } => {
                 let Some(p) = self.parts.get_mut(place) else { return };
                 let (Some(own), Some(r)) = (p.own.as_mut(), p.recs.get(&id)) else { return };
                 own.shown.remove(&id);
+                self.stirred = true;
                 own.lane.leave_work(&r.head, now);
                 match r.stage {
                     Stage::Calling => own.lane.enter(&r.head, r.stage, now),
--- a/crates/waitlist/src/store/copy.rs
+++ b/crates/waitlist/src/store/copy.rs
@@ -398,7 +398,7 @@
     /// What is synced here and on a counting sibling in another zone stands.
     pub(super) fn commit(&mut self, place: &Place, now: Time) {
         let zone = self.startup.me.zone.clone();
-        let zones: BTreeSet<Daemon> = self.link.members.values().filter(|m| m.zone != zone).map(|m| m.id.clone()).collect();
+        let members = &self.link.members;
         let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
         if !own.adopted {
             return;
@@ -406,7 +406,9 @@
         let best = own
             .sibs
             .iter()
-            .filter(|(d, s)| zones.contains(*d) && own.set.iter().any(|(x, m)| x == *d && *m == s.mark))
+            .filter(|(d, s)| {
+                members.get(*d).is_some_and(|m| m.zone != zone) && own.set.iter().any(|(x, m)| x == *d && *m == s.mark)
+            })
             .filter_map(|(_, s)| s.have)
             .max();
         let Some(best) = best else { return };
--- a/crates/waitlist/src/store/dispatch.rs
+++ b/crates/waitlist/src/store/dispatch.rs
@@ -3,6 +3,9 @@
 use crate::store::opening::GRACE;
 use crate::store::RoomAt;
 
+/// Partitions with something due; for a call-back, with its desk.
+type Lanes = Vec<(Place, Option<String>)>;
+
 impl Store {
     pub(super) fn on_room(
         &mut self,
@@ -14,6 +17,7 @@
         now: Time,
     ) {
         let bound = self.bound();
+        self.stirred = true;
         for room in duties {
             let old = self.rooms.get(&room.duty);
             if old.is_some_and(|r| r.room.epoch > room.epoch || (r.to == from && r.asked > asked)) {
@@ -55,30 +59,21 @@
         }
     }
 
-    /// Hands out what is due, within the room each delivery has.
+    /// Hands out what is due, within the room each delivery has. Looked at
+    /// when something was stirred, and on each clock event.
     pub(super) fn fill(&mut self, now: Time) {
-        if self.rooms.is_empty() || !self.link.fresh(now) {
+        if !std::mem::take(&mut self.stirred) || self.rooms.is_empty() || !self.link.fresh(now) {
             return;
         }
+        let (lanes, out) = self.due_lanes(now);
         let mut offers: BTreeMap<Daemon, (Time, Vec<Offer>)> = BTreeMap::new();
-        let duties: Vec<Duty> = self.rooms.keys().cloned().collect();
-        for duty in duties {
+        for (duty, lanes) in lanes {
             let Some(r) = self.rooms.get(&duty) else { continue };
             if now.since(r.at) > GRACE.percent(80) {
                 continue;
             }
             let (to, room, asked) = (r.to.clone(), r.room.room as usize, r.asked);
-            let lanes = self.lanes_of(&duty, now);
-            if lanes.is_empty() {
-                continue;
-            }
-            let mut out: usize = self
-                .parts
-                .values()
-                .filter_map(|p| p.own.as_ref())
-                .flat_map(|o| o.lane.flights.values())
-                .filter(|f| f.duty == duty && f.to == to)
-                .count();
+            let mut out = out.get(&duty).copied().unwrap_or(0);
             let mut idle = 0;
             let mut at = 0;
             while out < room && idle < lanes.len() {
@@ -100,32 +95,32 @@
         }
     }
 
-    /// The lanes a duty draws from that have something due.
-    fn lanes_of(&self, duty: &Duty, now: Time) -> Vec<(Place, Option<String>)> {
+    /// In one pass: the lanes that have something due, by duty, and how many
+    /// attempts of each duty its present holder has in hand.
+    fn due_lanes(&self, now: Time) -> (BTreeMap<Duty, Lanes>, BTreeMap<Duty, usize>) {
         let due = |set: &BTreeSet<(Time, u64)>| set.first().is_some_and(|f| f.0 <= now);
-        let mut out = Vec::new();
-        let kept = |p: &Place| self.serving(p, now).then(|| self.parts.get(p).and_then(|x| x.own.as_ref())).flatten();
-        match duty {
-            Duty::Keep(_) => {}
-            Duty::Deliver(place) => {
-                if kept(place).is_some_and(|o| due(&o.lane.line)) {
-                    out.push((place.clone(), None));
+        let mut lanes: BTreeMap<Duty, Lanes> = BTreeMap::new();
+        let mut out: BTreeMap<Duty, usize> = BTreeMap::new();
+        for (place, p) in &self.parts {
+            let Some(own) = p.own.as_ref() else { continue };
+            for f in own.lane.flights.values() {
+                if self.rooms.get(&f.duty).is_some_and(|r| r.to == f.to) {
+                    *out.entry(f.duty.clone()).or_default() += 1;
                 }
             }
-            Duty::Endpoint(e) => {
-                for place in self.parts.keys() {
-                    let Some(own) = kept(place) else { continue };
-                    let work = self.link.rules.rule_of(place).is_some_and(|r| r.target == Target::Endpoint(e.clone()));
-                    if work && due(&own.lane.line) {
-                        out.push((place.clone(), None));
-                    }
-                    if own.lane.calls.get(e).is_some_and(due) {
-                        out.push((place.clone(), Some(e.clone())));
-                    }
-                }
+            let work = due(&own.lane.line);
+            let calls = own.lane.calls.values().any(due);
+            if !(work || calls) || !self.serving(place, now) {
+                continue;
+            }
+            if let (true, Some(rule)) = (work, self.link.rules.rule_of(place)) {
+                lanes.entry(rule.duty(place)).or_default().push((place.clone(), None));
+            }
+            for (desk, _) in own.lane.calls.iter().filter(|(_, set)| due(set)) {
+                lanes.entry(Duty::Endpoint(desk.clone())).or_default().push((place.clone(), Some(desk.clone())));
             }
         }
-        out
+        (lanes, out)
     }
 
     fn take(&mut self, place: &Place, desk: Option<&str>, duty: &Duty, to: &Daemon, now: Time) -> Option<Offer> {
@@ -186,6 +181,7 @@
 
     pub(super) fn on_settled(&mut self, from: Daemon, all: Vec<Settled>, now: Time) {
         let mut noted = Vec::new();
+        self.stirred = true;
         for s in all {
             if !self.serving(&s.place, now) {
                 continue;
