--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -3,7 +3,7 @@
 use crossbeam_channel::{bounded, RecvTimeoutError, Sender};
 use snafu::{ResultExt, Snafu};
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 #[derive(Debug, Snafu)]
@@ -37,10 +37,15 @@
 /// Between two clock events.
 const TICK: Duration = Duration::from_millis(20);
 
-fn keep(folder: Folder, jobs: crossbeam_channel::Receiver<Job>, ring: Sender<Event>) {
+/// Syncs one save at a time, none sooner than `gap` after the last: what the
+/// core pushes meanwhile goes into one file with one sync.
+fn keep(folder: Folder, jobs: crossbeam_channel::Receiver<Job>, ring: Sender<Event>, gap: Duration) {
+    let mut last = Instant::now();
     for job in jobs {
         match job {
             Job::Save { n, name, bytes } => {
+                std::thread::sleep(gap.saturating_sub(last.elapsed()));
+                last = Instant::now();
                 if let Err(e) = folder.save(&name, &bytes) {
                     log::error!("{} {}: {e}", Note::DiskFailed.number(), Note::DiskFailed.what());
                     // What can't be synced must not be claimed: fail whole.
@@ -76,7 +81,8 @@
         let folder = Folder::open(path, &format!("{}/{}", startup.cluster, startup.id))?;
         files = folder.load()?;
         let ring = ring.clone();
-        std::thread::Builder::new().name("disk".into()).spawn(move || keep(folder, todo, ring)).context(ThreadSnafu)?;
+        let gap = Duration::from_millis(startup.times.sync_gap);
+        std::thread::Builder::new().name("disk".into()).spawn(move || keep(folder, todo, ring, gap)).context(ThreadSnafu)?;
     }
     let wires = crate::wires::start(startup, me.clone(), ring.clone()).context(ListenSnafu { addr: &startup.listen })?;
     for n in known {
--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -75,6 +75,8 @@
     pub give_up: u64,
     pub backoff: u64,
     pub backoff_max: u64,
+    /// From the start of one sync to the next.
+    pub sync_gap: u64,
 }
 
 impl Default for Times {
@@ -93,6 +95,7 @@
             give_up: 2000,
             backoff: 200,
             backoff_max: 10_000,
+            sync_gap: 6,
         }
     }
 }
@@ -154,6 +157,7 @@
                 "times.hold is shorter than a lease and its margin",
                 "hold reservations at least as long as a lease can run",
             ),
+            (self.sync_gap > 50, "times.sync_gap is over 50", "every acceptance waits for it; use 6"),
             (!(1..=20).contains(&self.drift_percent), "times.drift_percent is not within 1 to 20", "use 5"),
             (self.pull == 0 || self.poll == 0 || self.backoff == 0, "a pace is zero", "give each at least 1 ms"),
             (self.give_up <= self.second_way, "times.give_up is not over times.second_way", "leave time for the second way"),
