Stores are retired for new ones; duties are shed on request and balanced

Cause of the loss the new scenario showed first: a retiring store could still be keeper or mate, so an op could stand on it and one other, and the new write set had a majority without either. Now the one that leaves counts for nothing from the moment its seat is offered. Cause of a 51 s stall in two old scenarios, shown by balancing: a delivery asked to shed a duty waited for an already settled attempt, whose success the new keeper kept back until it had room to hand out. Ruled out: leases (none lapsed).

--- a/crates/delivery/src/run.rs
+++ b/crates/delivery/src/run.rs
@@ -46,6 +46,9 @@
     roomed: Time,
     paced: Time,
     leaving: Option<Time>,
+    /// Duties asked back: nothing new is taken for them.
+    shedding: BTreeSet<Duty>,
+    gave: BTreeMap<Duty, (Epoch, Time)>,
     pub counts: Counts,
     rng: fastrand::Rng,
     ends: BTreeMap<Daemon, Vec<Settled>>,
@@ -78,6 +81,8 @@
             roomed: Time(0),
             paced: Time(0),
             leaving: None,
+            shedding: BTreeSet::new(),
+            gave: BTreeMap::new(),
             counts: Counts::default(),
             rng,
             ends: BTreeMap::new(),
@@ -97,7 +102,14 @@
             *wanted.entry(h.offer.duty.clone()).or_default() += 1;
         }
         let assigned = self.link.places.iter().map(|(p, x)| (p.clone(), x.keeper.clone())).collect();
-        Report { claims, assigned, wanted: wanted.into_iter().collect(), leaving: self.leaving.is_some(), ..Report::default() }
+        Report {
+            claims,
+            assigned,
+            wanted: wanted.into_iter().collect(),
+            gave: self.gave.iter().map(|(d, x)| (d.clone(), x.0)).collect(),
+            leaving: self.leaving.is_some(),
+            ..Report::default()
+        }
     }
 
     fn on_clock(&mut self, now: Time) {
@@ -126,10 +138,11 @@
                 }
             }
         }
+        self.shed(now);
         self.start_all(now);
         if let Some(since) = self.leaving {
             for (duty, _) in self.link.held.live(now) {
-                if !self.hands.values().any(|h| h.offer.duty == duty) {
+                if !self.busy(&duty) {
                     self.link.held.give_up(&duty);
                     self.link.hurry(now);
                 }
@@ -141,6 +154,25 @@
         }
     }
 
+    /// Whether an attempt of a duty may still have a call to make or open.
+    /// What is settled is told on, whoever holds the duty.
+    fn busy(&self, duty: &Duty) -> bool {
+        self.hands.values().any(|h| h.offer.duty == *duty && !matches!(h.state, State::Settled { .. }))
+    }
+
+    /// Gives up what was asked back once nothing of it is in hand.
+    fn shed(&mut self, now: Time) {
+        self.gave.retain(|_, x| now.since(x.1) < Span::secs(6));
+        for duty in self.shedding.clone() {
+            let Some(epoch) = self.link.may(&duty, now) else { continue };
+            if !self.busy(&duty) {
+                self.link.held.give_up(&duty);
+                self.gave.insert(duty, (epoch, now));
+                self.link.hurry(now);
+            }
+        }
+    }
+
     fn hear(&mut self, from: Daemon, msg: Msg, now: Time) {
         match msg {
             Msg::News { asked, term, fresh, items, grants, late } => {
@@ -184,7 +216,12 @@
         }
         let Some(grants) = change.grants else { return };
         let mut new = false;
+        self.shedding = grants.iter().filter(|g| g.shed).map(|g| g.duty.clone()).collect();
         for g in grants {
+            if self.gave.get(&g.duty).is_some_and(|x| x.0 >= g.epoch) {
+                self.link.held.give_up(&g.duty);
+                continue;
+            }
             let Duty::Endpoint(name) = &g.duty else { continue };
             let rate = self.link.rules.endpoints.get(name).map_or(1, |e| e.allowance);
             let same = self.desks.get(name).is_some_and(|d| d.epoch == g.epoch);
@@ -236,7 +273,7 @@
     }
 
     fn room(&mut self, duty: &Duty, now: Time) -> u32 {
-        if self.leaving.is_some() || self.hands.len() >= self.startup.hands_max {
+        if self.leaving.is_some() || self.shedding.contains(duty) || self.hands.len() >= self.startup.hands_max {
             return 0;
         }
         match duty {
--- a/crates/placement/src/primary.rs
+++ b/crates/placement/src/primary.rs
@@ -43,6 +43,9 @@
     seen: BTreeMap<Daemon, Seen>,
     doubts: BTreeMap<Daemon, BTreeMap<Daemon, Time>>,
     late: BTreeSet<Daemon>,
+    /// Duties their holders are asked to give up, since when.
+    shed: BTreeMap<Duty, Time>,
+    balanced: Time,
     pending: BTreeMap<u64, (Term, Pending)>,
     /// Members and layouts proposed and not applied yet.
     asked: BTreeMap<String, Time>,
@@ -97,6 +100,8 @@
             seen: BTreeMap::new(),
             doubts: BTreeMap::new(),
             late: BTreeSet::new(),
+            shed: BTreeMap::new(),
+            balanced: now,
             pending: BTreeMap::new(),
             asked: BTreeMap::new(),
             placed: BTreeMap::new(),
@@ -153,6 +158,7 @@
                 self.won = now;
                 self.seen.clear();
                 self.late.clear();
+                self.shed.clear();
                 self.doubts.clear();
                 self.given = Given::new(self.startup.terms, self.election.term());
                 self.placed.clear();
--- a/crates/placement/src/primary/asks.rs
+++ b/crates/placement/src/primary/asks.rs
@@ -35,7 +35,7 @@
                 self.propose(Order::Drain { worker, on }, Pending::Order(id), now);
                 None
             }
-            Ask::Retire { .. } => Some(wrong(501, "store retire is not built yet; see the README")),
+            Ask::Retire { store } => self.retire(id, store, now),
             Ask::Plan { charter, .. } => Some(self.plan_charter(charter)),
             _ => Some(wrong(404, "callers' requests go to a proxy")),
         };
@@ -118,6 +118,27 @@
         None
     }
 
+    /// A store leaves for good: only when another can take each of its seats
+    /// and the copies then stand in at least two zones.
+    fn retire(&mut self, id: AskId, store: Daemon, now: Time) -> Option<Verdict> {
+        if store.kind() != Kind::Store || !self.hard.members.contains_key(&store) {
+            return Some(wrong(404, "no store of that name is a member; check it with 'dahliawick status'"));
+        }
+        if self.hard.retiring.contains_key(&store) {
+            let left = self.seats_of(&store);
+            return Some(Verdict::json(200, json!({"store": store, "seats_left": left}).to_string()));
+        }
+        let rest: Vec<&Member> =
+            self.hard.of(Kind::Store).filter(|m| m.id != store && !self.hard.retiring.contains_key(&m.id)).collect();
+        let zones: BTreeSet<&Zone> = rest.iter().map(|m| &m.zone).collect();
+        if rest.len() < 3 || zones.len() < 2 {
+            let why = "fewer than three stores in two zones would be left; start a replacement store first, then retire this one";
+            return Some(wrong(409, why));
+        }
+        self.propose(Order::Retire { store, state: Retirement::Asked }, Pending::Order(id), now);
+        None
+    }
+
     fn plan_charter(&self, charter: Option<String>) -> Verdict {
         let Some(json) = charter else { return wrong(501, "only charters are planned so far; see the README") };
         match self.fit(&json) {
@@ -165,6 +186,9 @@
             "late": self.late.iter().map(|d| d.to_string()).collect::<Vec<_>>(),
             "empty_zones": self.hard.empty,
             "drained": self.hard.drained,
+            "retiring": self.hard.retiring.iter().map(|(d, r)| (d.to_string(), json!({
+                "state": format!("{r:?}").to_lowercase(), "seats_left": self.seats_of(d)}))).collect::<serde_json::Map<_, _>>(),
+            "shedding": self.shed.keys().map(|d| d.to_string()).collect::<Vec<_>>(),
             "workers": self.list.workers.len(),
             "phases": self.phases,
         });
--- a/crates/placement/src/primary/grants.rs
+++ b/crates/placement/src/primary/grants.rs
@@ -90,6 +90,12 @@
                 self.given.adopt(c.duty.clone(), from.clone(), c.epoch, self.startup.terms.giver_end(now));
             }
         }
+        for (duty, epoch) in &report.gave {
+            if self.given.get(duty).is_some_and(|g| g.holder == *from && g.epoch == *epoch) {
+                self.given.release(duty, from);
+                self.shed.remove(duty);
+            }
+        }
         for (place, store, mark) in &report.whole {
             let set = self.hard.layout.get(place);
             let known = self.seen.get(store).is_some_and(|s| s.disk == *mark);
@@ -97,6 +103,11 @@
                 let order = Order::Reseat { place: place.clone(), out: store.clone(), put: (store.clone(), *mark) };
                 self.propose_once(format!("reseat {place} {store}"), order, now);
             }
+            if known && self.joiner(place).as_ref() == Some(store) {
+                let Some(out) = self.retiring_of(place).filter(|d| d != from) else { continue };
+                let order = Order::Reseat { place: place.clone(), out: out.clone(), put: (store.clone(), *mark) };
+                self.propose_once(format!("reseat {place} {out}"), order, now);
+            }
         }
     }
 
@@ -107,12 +118,76 @@
         self.hard.layout.get(place).is_some_and(|set| set.iter().any(|(x, m)| x == d && Some(*m) == disk))
     }
 
+    fn retiring(&self, d: &Daemon) -> bool {
+        self.hard.retiring.get(d).is_some_and(|r| *r != Retirement::None)
+    }
+    /// The retiring store in a partition's write set, if any.
+    pub(super) fn retiring_of(&self, place: &Place) -> Option<Daemon> {
+        self.hard.layout.get(place)?.iter().map(|s| s.0.clone()).find(|d| self.retiring(d))
+    }
+    /// The store that takes a retiring one's seat: zones apart first.
+    pub(super) fn joiner(&self, place: &Place) -> Option<Daemon> {
+        let out = self.retiring_of(place)?;
+        let set = self.hard.layout.get(place)?;
+        let zone = |d: &Daemon| self.hard.members.get(d).map(|m| m.zone.clone());
+        let zones: BTreeSet<_> = set.iter().filter(|s| s.0 != out).map(|s| zone(&s.0)).collect();
+        self.hard
+            .of(Kind::Store)
+            .filter(|m| !self.retiring(&m.id) && !set.iter().any(|s| s.0 == m.id))
+            .min_by_key(|m| (zones.contains(&Some(m.zone.clone())), hash_of(format!("{place}@{}", m.id).as_bytes())))
+            .map(|m| m.id.clone())
+    }
+    /// Places a retiring store still has a seat in.
+    pub(super) fn seats_of(&self, d: &Daemon) -> usize {
+        self.hard.layout.values().filter(|set| set.iter().any(|s| s.0 == *d)).count()
+    }
+
+    /// Asks holders to give duties up: all of a retiring store's, and one at
+    /// a time where another could carry it with less. Nothing is taken away.
+    fn balance(&mut self, now: Time) {
+        if now.since(self.balanced) < Span::secs(1) || now < self.startup.terms.giver_end(self.won) {
+            return;
+        }
+        self.balanced = now;
+        self.shed.retain(|_, t| now.since(*t) < Span::secs(5));
+        for (d, r) in self.hard.retiring.clone() {
+            if r == Retirement::Asked && self.seats_of(&d) == 0 {
+                let order = Order::Retire { store: d.clone(), state: Retirement::Done };
+                self.propose_once(format!("retired {d}"), order, now);
+            }
+        }
+        let held: Vec<(Duty, Daemon)> =
+            self.given.iter().filter(|(_, g)| now < g.until).map(|(d, g)| (d.clone(), g.holder.clone())).collect();
+        for (duty, holder) in &held {
+            if self.retiring(holder) && matches!(duty, Duty::Keep(_)) {
+                self.shed.insert(duty.clone(), now);
+            }
+        }
+        if !self.shed.is_empty() {
+            return;
+        }
+        let kind = |d: &Duty| matches!(d, Duty::Keep(_));
+        let load = |d: &Daemon, keep: bool| held.iter().filter(|(x, h)| h == d && kind(x) == keep).count();
+        for (duty, holder) in &held {
+            let others: Vec<Daemon> = match duty {
+                Duty::Keep(p) => self.hard.layout.get(p).into_iter().flatten().map(|s| s.0.clone()).collect(),
+                _ => self.hard.of(Kind::Delivery).map(|m| m.id.clone()).collect(),
+            };
+            let keep = kind(duty);
+            let here = load(holder, keep);
+            let better = others.iter().any(|d| self.live(d, now) && self.counts(duty, d) && load(d, keep) + 2 <= here);
+            if better {
+                self.shed.insert(duty.clone(), now);
+                return;
+            }
+        }
+    }
+
     fn live(&self, d: &Daemon, now: Time) -> bool {
         let doubted =
             self.doubts.get(d).is_some_and(|by| by.values().filter(|t| now.since(**t) < Span::millis(2500)).count() >= 2);
         let heard = self.seen.get(d).is_some_and(|s| now.since(s.at) < LIVE && s.report.as_ref().is_some_and(|r| !r.leaving));
-        let retired = self.hard.retiring.get(d).is_some_and(|r| *r != Retirement::None);
-        heard && !retired && !(doubted && now.since(self.seen[d].at) > Span::millis(600))
+        heard && !self.retiring(d) && !(doubted && now.since(self.seen[d].at) > Span::millis(600))
     }
 
     /// Grants what the charter calls for and nobody holds.
@@ -128,6 +203,7 @@
         let free: Vec<Duty> =
             duties.iter().filter(|d| self.given.free(d, now) && (sure || self.given.get(d).is_some())).cloned().collect();
         if free.is_empty() {
+            self.balance(now);
             return self.publish();
         }
         self.lay_out(&free, now);
--- a/crates/placement/src/primary/news.rs
+++ b/crates/placement/src/primary/news.rs
@@ -41,7 +41,12 @@
                     Duty::Keep(p) => self.hard.layout.get(p).cloned().unwrap_or_default(),
                     _ => Vec::new(),
                 };
-                Grant { duty, epoch, set }
+                let shed = self.shed.contains_key(&duty);
+                let swap = match &duty {
+                    Duty::Keep(p) => self.retiring_of(p).zip(self.joiner(p)),
+                    _ => None,
+                };
+                Grant { duty, epoch, set, swap, shed }
             })
             .collect()
     }
--- a/crates/sim/src/random.rs
+++ b/crates/sim/src/random.rs
@@ -69,5 +69,14 @@
     steps.push(Step { at: end, act: Act::Thaw("all".into()) });
     steps.push(Step { at: end, act: Act::AllOn });
     steps.sort_by_key(|s| s.at);
-    Script { name: format!("random {seed}"), seeds: 1, run: Span::secs(40), rate: 30, steps, gap: None, accepted: 1 }
+    Script {
+        name: format!("random {seed}"),
+        seeds: 1,
+        run: Span::secs(40),
+        rate: 30,
+        steps,
+        gap: None,
+        accepted: 1,
+        retired: None,
+    }
 }
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -84,6 +84,15 @@
     if !w.counts.contains_key("shown") {
         w.check.flag("the charter could not be read back".into());
     }
+    if let Some(d) = &script.retired {
+        let done = (1..=3).any(|n| {
+            let s = w.status(&Daemon(format!("placement-{n}"))).unwrap_or_default();
+            s["retiring"][d]["state"] == "done"
+        });
+        if !done {
+            w.check.flag(format!("{d} is not retired"));
+        }
+    }
     let now = w.now;
     let mut found = w.check.finish(now);
     if let Some(gap) = script.gap {
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -40,6 +40,7 @@
     Race(u32, u32),
     BadCharter,
     Poison(u64),
+    Retire(String),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -58,6 +59,8 @@
     /// The longest time without any receipt.
     pub gap: Option<Span>,
     pub accepted: usize,
+    /// A store that must be retired for good by the end.
+    pub retired: Option<String>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -120,14 +123,23 @@
         ["share", x, n] => Act::Share(s(x), num(n)?),
         ["race", a, b] => Act::Race(num(a)?, num(b)?),
         ["badcharter"] => Act::BadCharter,
+        ["retire", x] => Act::Retire(s(x)),
         ["poison", n] => Act::Poison(num(n)?),
         _ => return Err(format!("'{}' is no act", w.join(" "))),
     })
 }
 
 pub fn parse(text: &str) -> Result<Script, ScriptError> {
-    let mut s =
-        Script { name: String::new(), seeds: 3, run: Span::secs(30), rate: 40, steps: Vec::new(), gap: None, accepted: 1 };
+    let mut s = Script {
+        name: String::new(),
+        seeds: 3,
+        run: Span::secs(30),
+        rate: 40,
+        steps: Vec::new(),
+        gap: None,
+        accepted: 1,
+        retired: None,
+    };
     for (n, line) in text.lines().enumerate() {
         let fail = |why: String| ScriptError { line: n + 1, why };
         let line = line.split('#').next().unwrap_or_default();
@@ -139,6 +151,7 @@
             ["run", t] => s.run = span(t).map_err(fail)?,
             ["rate", x] => s.rate = num(x).map_err(fail)?,
             ["expect", "gap", t] => s.gap = Some(span(t).map_err(fail)?),
+            ["expect", "retired", x] => s.retired = Some(x.to_string()),
             ["expect", "accepted", x] => s.accepted = num(x).map_err(fail)?,
             ["at", t, rest @ ..] => {
                 let at = Time(span(t).map_err(fail)?.0);
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -73,7 +73,8 @@
     pub fn new(seed: u64, steps: Vec<Step>, run: Span, rate: u64) -> World {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut nodes = BTreeMap::new();
-        for id in names() {
+        // A fourth store stands ready, and is started only by a script.
+        for id in names().into_iter().chain([Daemon("store-4".into())]) {
             let offset = 1_000_000_000 + rng.u64(..1_000_000_000);
             nodes.insert(id.clone(), Node::new(id, offset));
         }
@@ -906,6 +907,7 @@
                 self.operate(Ask::Apply(charge), "", "charter bad");
             }
             Act::Poison(n) => self.poison = n,
+            Act::Retire(w) => self.operate(Ask::Retire { store: Daemon(w) }, "", "retire"),
         }
     }
 }
--- a/crates/waitlist/src/keep.rs
+++ b/crates/waitlist/src/keep.rs
@@ -53,6 +53,10 @@
 pub struct Keep {
     pub epoch: Epoch,
     pub set: Vec<(Daemon, Mark)>,
+    /// Who leaves the set and who takes the seat. Invariant: while set, the
+    /// first is neither mate nor counted, so every op after the second is
+    /// whole stands on two that stay.
+    pub swap: Option<(Daemon, Daemon)>,
     pub phase: Phase,
     pub fences: BTreeMap<Daemon, Fence>,
     pub promised: bool,
@@ -90,6 +94,7 @@
         Keep {
             epoch,
             set,
+            swap: None,
             phase: Phase::Sealing,
             fences: BTreeMap::new(),
             promised: false,
--- a/crates/waitlist/src/store.rs
+++ b/crates/waitlist/src/store.rs
@@ -60,6 +60,8 @@
     restored: bool,
     /// Epochs granted again that were closed here; new ones are needed.
     pub(crate) spent: BTreeMap<Duty, Epoch>,
+    /// Given up on request, told until placement has had time to hear it.
+    pub(crate) gave: BTreeMap<Duty, (Epoch, Time)>,
     leaving: Option<Time>,
     pub counts: Counts,
     swept: Time,
@@ -102,6 +104,7 @@
             checkpoint: BTreeMap::new(),
             restored: true,
             spent: BTreeMap::new(),
+            gave: BTreeMap::new(),
             leaving: None,
             counts: Counts::default(),
             swept: now,
--- a/crates/waitlist/src/store/copy.rs
+++ b/crates/waitlist/src/store/copy.rs
@@ -12,8 +12,12 @@
         let zones: BTreeMap<Daemon, Zone> = self.link.members.values().map(|m| (m.id.clone(), m.zone.clone())).collect();
         let turn = hash_of(place.to_string().as_bytes());
         let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
-        let mut all: Vec<Daemon> =
-            own.set.iter().map(|(d, _)| d.clone()).filter(|d| *d != me && zones.get(d).is_some_and(|z| *z != zone)).collect();
+        let mut all: Vec<Daemon> = own
+            .set
+            .iter()
+            .map(|(d, _)| d.clone())
+            .filter(|d| *d != me && zones.get(d).is_some_and(|z| *z != zone) && own.swap.as_ref().is_none_or(|s| s.0 != *d))
+            .collect();
         if all.is_empty() {
             return;
         }
@@ -48,7 +52,8 @@
         let sib = own.sibs.entry(mate.clone()).or_default();
         let behind = sib.have.is_none_or(|h| h < top);
         let quiet = now.since(sib.heard.max(own.mate_since)) > Span::millis(900);
-        let switch = behind && quiet;
+        let leaves = own.swap.as_ref().is_some_and(|s| s.0 == mate);
+        let switch = (behind && quiet) || leaves;
         if behind && !switch && now.since(sib.asked) > Span::millis(300) {
             sib.asked = now;
             match sib.have {
@@ -59,16 +64,17 @@
         // Repair: those whose folder has another mark than the one that counts.
         let set = own.set.clone();
         let serving = own.phase == Phase::Serving;
-        for (d, mark) in &set {
-            let disk = self.link.members.get(d).map(|m| m.disk);
-            if !serving || *d == self.startup.me.id || disk.is_none_or(|m| m == *mark) {
+        let joining = own.swap.iter().map(|s| (s.1.clone(), Mark(0)));
+        for (d, mark) in set.iter().cloned().chain(joining) {
+            let disk = self.link.members.get(&d).map(|m| m.disk);
+            if !serving || d == self.startup.me.id || disk.is_none_or(|m| m == mark) {
                 continue;
             }
             let sib = own.sibs.entry(d.clone()).or_default();
-            let whole = own.whole.get(d) == disk.as_ref();
+            let whole = own.whole.get(&d) == disk.as_ref();
             if !whole && now.since(sib.asked) > Span::millis(1000) {
                 sib.asked = now;
-                lag.push(d.clone());
+                lag.push(d);
             }
         }
         // Those never fenced may have come back since.
@@ -409,6 +415,7 @@
             .filter(|(d, s)| {
                 members.get(*d).is_some_and(|m| m.zone != zone) && own.set.iter().any(|(x, m)| x == *d && *m == s.mark)
             })
+            .filter(|(d, _)| own.swap.as_ref().is_none_or(|s| s.0 != **d))
             .filter_map(|(_, s)| s.have)
             .max();
         let Some(best) = best else { return };
--- a/crates/waitlist/src/store/dispatch.rs
+++ b/crates/waitlist/src/store/dispatch.rs
@@ -278,6 +278,14 @@
             let Some(p) = self.parts.get_mut(&place) else { continue };
             let Some(own) = p.own.as_mut() else { continue };
             let late: Vec<MessageId> = own.lane.overdue(now).into_iter().filter_map(|s| own.lane.ids.get(&s).cloned()).collect();
+            // Kept-back successes whose other attempts are over by now.
+            let (quiet, lane) = (own.quiet, &own.lane);
+            let sure: Vec<MessageId> = own
+                .won
+                .iter()
+                .filter(|s| !lane.flights.contains_key(s) && !lane.rests(**s, quiet, now))
+                .filter_map(|s| lane.ids.get(s).cloned())
+                .collect();
             let mut drop = Vec::new();
             let mut old = Vec::new();
             for (id, r) in &p.recs {
@@ -294,6 +302,9 @@
             for id in late {
                 self.back(&place, &id, true, now);
             }
+            for id in sure {
+                self.settle_won(&place, &id, now);
+            }
             for id in old {
                 self.stage(&place, &id, Stage::Ended(Outcome::Expired), None, now);
             }
@@ -304,6 +315,20 @@
         self.clean();
     }
 
+    /// A success kept back is shown now that nothing else is under way.
+    fn settle_won(&mut self, place: &Place, id: &MessageId, now: Time) {
+        let Some(p) = self.parts.get_mut(place) else { return };
+        let (Some(own), Some(r)) = (p.own.as_mut(), p.recs.get(id)) else { return };
+        let seq = r.head.seq;
+        if !own.won.remove(&seq) {
+            return;
+        }
+        let next = won(r);
+        own.lane.line.retain(|(_, s)| *s != seq);
+        own.lane.calls.values_mut().for_each(|c| c.retain(|(_, s)| *s != seq));
+        self.stage(place, id, next, None, now);
+    }
+
     /// Writes the few living records of the oldest file again, so it can go.
     fn clean(&mut self) {
         let Some((first, last)) = self.ledger.sparse() else { return };
--- a/crates/waitlist/src/store/opening.rs
+++ b/crates/waitlist/src/store/opening.rs
@@ -14,6 +14,20 @@
             if self.leaving.is_some() {
                 continue;
             }
+            if self.gave.get(&Duty::Keep(place.clone())).is_some_and(|x| x.0 >= g.epoch) {
+                self.link.held.give_up(&Duty::Keep(place));
+                continue;
+            }
+            let idle = |o: &Keep| o.phase == Phase::Serving && o.waits.is_empty();
+            let own = self.parts.get(&place).and_then(|p| p.own.as_ref());
+            if g.shed && own.is_some_and(|o| o.epoch == g.epoch && idle(o)) {
+                self.close(&place, now);
+                let duty = Duty::Keep(place);
+                self.link.held.give_up(&duty);
+                self.gave.insert(duty, (g.epoch, now));
+                self.link.hurry(now);
+                continue;
+            }
             let p = self.parts.entry(place.clone()).or_default();
             if g.epoch < p.promised {
                 self.counts.fenced += 1;
@@ -29,6 +43,7 @@
                 Some(own) if own.epoch == g.epoch => {
                     let changed = own.set != g.set;
                     own.set = g.set;
+                    own.swap = g.swap;
                     if changed {
                         // A copy acknowledged before may count from now on.
                         self.commit(&place, now);
@@ -247,6 +262,7 @@
         for place in copying {
             self.retry_fetch(&place, now);
         }
+        self.gave.retain(|_, x| now.since(x.1) < Span::secs(6));
         // Leases that ran out leave the checkpoint too.
         if !self.restored {
             let gone: Vec<Duty> = self.checkpoint.keys().filter(|d| self.link.may(d, now).is_none()).cloned().collect();
--- a/crates/wire/src/news.rs
+++ b/crates/wire/src/news.rs
@@ -61,6 +61,11 @@
     pub duty: Duty,
     pub epoch: Epoch,
     pub set: Vec<(Daemon, Mark)>,
+    /// A store that leaves the set, and the one made whole to take its seat.
+    /// From here on the first counts for nothing new.
+    pub swap: Option<(Daemon, Daemon)>,
+    /// Asked to give it up when nothing waits on it; never forced.
+    pub shed: bool,
 }
 
 /// One duty its holder says it holds.
@@ -89,6 +94,8 @@
     pub whole: Vec<(Place, Daemon, Mark)>,
     /// Grants whose epoch was closed by the holder: it needs a new one.
     pub spent: Vec<(Duty, Epoch)>,
+    /// Duties given up on request; they are free at once.
+    pub gave: Vec<(Duty, Epoch)>,
     /// The daemon is going away and takes nothing new.
     pub leaving: bool,
 }
