--- a/crates/wire/src/step.rs
+++ b/crates/wire/src/step.rs
@@ -117,6 +117,8 @@
     Leave,
 }
 
+/// Effects live for one step and are moved once; boxing would only cost.
+#[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     Say(Daemon, Msg),
