An empty folder no longer passes for a new partition's copy

Where the partition began empty, a sibling that had just lost its folder stood there too, adopted the epoch with nothing in it, was reported whole, readmitted, and won a seal. Ruled out: double loss (one folder only). Now the offer names the mark that counts.

--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -55,7 +55,7 @@
         match parse(&text) {
             Ok(s) => match line.seed {
                 Some(seed) => jobs.push((s, seed)),
-                None => jobs.extend((1..=s.seeds).map(|n| (s.clone(), n))),
+                None => jobs.extend(s.all_seeds().map(|n| (s.clone(), n))),
             },
             Err(e) => {
                 eprintln!("dahliawick-sim: {f}: {e}");
--- a/crates/sim/src/random.rs
+++ b/crates/sim/src/random.rs
@@ -72,6 +72,7 @@
     Script {
         name: format!("random {seed}"),
         seeds: 1,
+        more: Vec::new(),
         run: Span::secs(40),
         rate: 30,
         steps,
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -53,6 +53,8 @@
 pub struct Script {
     pub name: String,
     pub seeds: u64,
+    /// Single seeds besides, each of which once found a fault.
+    pub more: Vec<u64>,
     pub run: Span,
     pub rate: u64,
     pub steps: Vec<Step>,
@@ -129,10 +131,17 @@
     })
 }
 
+impl Script {
+    pub fn all_seeds(&self) -> impl Iterator<Item = u64> + '_ {
+        (1..=self.seeds).chain(self.more.iter().copied())
+    }
+}
+
 pub fn parse(text: &str) -> Result<Script, ScriptError> {
     let mut s = Script {
         name: String::new(),
         seeds: 3,
+        more: Vec::new(),
         run: Span::secs(30),
         rate: 40,
         steps: Vec::new(),
@@ -148,6 +157,7 @@
             [] => {}
             ["name", rest @ ..] => s.name = rest.join(" "),
             ["seeds", x] => s.seeds = num(x).map_err(fail)?,
+            ["seed", x] => s.more.push(num(x).map_err(fail)?),
             ["run", t] => s.run = span(t).map_err(fail)?,
             ["rate", x] => s.rate = num(x).map_err(fail)?,
             ["expect", "gap", t] => s.gap = Some(span(t).map_err(fail)?),
--- a/crates/sim/tests/scenarios.rs
+++ b/crates/sim/tests/scenarios.rs
@@ -34,7 +34,8 @@
 
 #[test]
 fn scenarios_hold() {
-    let jobs: Vec<(Script, u64)> = scripts().into_iter().flat_map(|s| (1..=s.seeds).map(move |n| (s.clone(), n))).collect();
+    let jobs: Vec<(Script, u64)> =
+        scripts().into_iter().flat_map(|s| s.all_seeds().collect::<Vec<_>>().into_iter().map(move |n| (s.clone(), n))).collect();
     assert!(jobs.len() > 60);
     let bad = all(jobs);
     assert!(bad.is_empty(), "{bad:#?}");
--- a/crates/waitlist/src/store.rs
+++ b/crates/waitlist/src/store.rs
@@ -288,7 +288,7 @@
             Msg::Seal { place, epoch } => self.on_seal(from, place, epoch, now),
             Msg::Sealed { place, epoch, fence } => self.on_sealed(from, place, epoch, fence, now),
             Msg::Refused { place, promised } => self.on_refused(place, promised, now),
-            Msg::Lag { place, epoch, was } => self.on_lag(from, place, epoch, was, now),
+            Msg::Lag { place, epoch, was, mark } => self.on_lag(from, place, epoch, was, mark, now),
             Msg::Fetch { place, epoch } => self.on_fetch(from, place, epoch),
             Msg::Fetched { place, epoch, digest } => self.on_fetched(from, place, epoch, digest, now),
             Msg::Want { place, epoch, ids } => self.on_want(from, place, epoch, ids),
--- a/crates/waitlist/src/store/copy.rs
+++ b/crates/waitlist/src/store/copy.rs
@@ -88,7 +88,8 @@
         }
         for d in lag {
             self.note(Note::Repairing, format!("{place} at {d}"));
-            self.say(&d, Msg::Lag { place: place.clone(), epoch, was });
+            let mark = set.iter().find(|s| s.0 == d).map_or(Mark(0), |s| s.1);
+            self.say(&d, Msg::Lag { place: place.clone(), epoch, was, mark });
         }
         if switch {
             return self.match_mate(place, now);
@@ -96,7 +97,7 @@
         self.dirty.insert(place.clone());
     }
 
-    pub(super) fn on_lag(&mut self, from: Daemon, place: Place, epoch: Epoch, was: Option<(Epoch, u64)>, now: Time) {
+    pub(super) fn on_lag(&mut self, from: Daemon, place: Place, epoch: Epoch, was: Option<(Epoch, u64)>, mark: Mark, now: Time) {
         let p = self.parts.entry(place.clone()).or_default();
         if epoch < p.promised {
             let promised = p.promised;
@@ -113,7 +114,9 @@
             let upto = p.n;
             return self.later(Then::Ack { to: from, place, epoch, upto });
         }
-        if was == Some((p.installed, p.n)) {
+        // An empty folder stands where a new partition began; it must not
+        // pass for one that was there all along.
+        if was == Some((p.installed, p.n)) && mark == self.mark {
             p.installed = epoch;
             p.n = 0;
             self.ledger.push(Line::Adopt { place: place.clone(), epoch });
@@ -378,6 +381,7 @@
             return;
         }
         let was = own.was;
+        let mark = own.set.iter().find(|s| s.0 == from).map_or(Mark(0), |s| s.1);
         let Some(sib) = own.sibs.get_mut(&from) else { return };
         sib.heard = now;
         if installed == epoch {
@@ -388,7 +392,7 @@
         }
         sib.have = None;
         sib.asked = now;
-        self.say(&from, Msg::Lag { place, epoch, was });
+        self.say(&from, Msg::Lag { place, epoch, was, mark });
     }
 
     pub(super) fn own_durable(&mut self, place: &Place, epoch: Epoch, upto: u64, now: Time) {
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -166,11 +166,13 @@
         place: Place,
         promised: Epoch,
     },
-    /// "You lack my epoch; if you stand exactly here, adopt it, else fetch."
+    /// "You lack my epoch. If you stand exactly here, and yours is the folder
+    /// that counts, adopt it; else fetch."
     Lag {
         place: Place,
         epoch: Epoch,
         was: Option<(Epoch, u64)>,
+        mark: Mark,
     },
     Fetch {
         place: Place,
