--- a/crates/checker/src/rules.rs
+++ b/crates/checker/src/rules.rs
@@ -31,6 +31,9 @@
     pub call_backs: usize,
     pub slowest_call_back: Span,
     pub longest_gap: Span,
+    /// The longest any one ordered key, and so its partition, went without a
+    /// receipt.
+    pub outage: Span,
 }
 
 /// Invariant: it is told only what happened outside the system; nothing in
@@ -50,6 +53,9 @@
     last_receipt: Option<Time>,
     gap: Span,
     gap_from: Time,
+    key_last: BTreeMap<(String, String), Time>,
+    outage: Span,
+    outage_at: (String, Time),
     broken: Vec<String>,
 }
 
@@ -70,6 +76,9 @@
             last_receipt: None,
             gap: Span::ZERO,
             gap_from: Time(0),
+            key_last: BTreeMap::new(),
+            outage: Span::ZERO,
+            outage_at: Default::default(),
             broken: Vec::new(),
         }
     }
@@ -189,6 +198,13 @@
         m.receipts.push(Receipt { target: target.to_string(), at: now, done: None });
         let n = m.receipts.len() - 1;
         if !m.key.is_empty() {
+            let at = (m.list.clone(), m.key.clone());
+            if let Some(last) = self.key_last.insert(at.clone(), now) {
+                if now.since(last) > self.outage {
+                    self.outage = now.since(last);
+                    self.outage_at = (format!("{}/{}", at.0, at.1), last);
+                }
+            }
             let turn = (m.turn, id.to_string());
             let key = (m.list.clone(), m.key.clone());
             let top = self.turns.entry(key).or_insert(turn.clone());
@@ -253,7 +269,7 @@
 
     /// The end of a run in which everything accepted had time to end.
     pub fn finish(&mut self, now: Time) -> Outcome {
-        let mut out = Outcome { longest_gap: self.gap, ..Outcome::default() };
+        let mut out = Outcome { longest_gap: self.gap, outage: self.outage, ..Outcome::default() };
         let mut bad = Vec::new();
         let excuses = self.down.get("call-backs").cloned().unwrap_or_default();
         for (id, m) in &self.all {
@@ -314,6 +330,11 @@
         out
     }
 
+    /// Whose outage was the longest, and when it began.
+    pub fn outage_at(&self) -> &(String, Time) {
+        &self.outage_at
+    }
+
     pub fn gap_from(&self) -> Time {
         self.gap_from
     }
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -91,7 +91,7 @@
                     t.0 += r.found.accepted;
                     t.1 += r.found.reruns;
                     t.2 += r.found.unknown;
-                    t.3 = t.3.max(r.found.longest_gap);
+                    t.3 = t.3.max(r.found.outage);
                     if !r.found.broken.is_empty() {
                         failed.fetch_add(1, Ordering::Relaxed);
                         tell(&script.name, &r, line.trace);
@@ -103,7 +103,7 @@
     let t = sums.lock().map(|t| *t).unwrap_or_default();
     let failed = failed.load(Ordering::Relaxed);
     println!(
-        "{} runs, {failed} failed; {} accepted, {} run again, {} unknown at the end, longest gap {} ms",
+        "{} runs, {failed} failed; {} accepted, {} run again, {} unknown at the end, longest outage of one key {} ms",
         jobs.len(),
         t.0,
         t.1,
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -96,6 +96,14 @@
     let now = w.now;
     let mut found = w.check.finish(now);
     if let Some(gap) = script.gap {
+        if found.outage > gap {
+            let (who, from) = w.check.outage_at().clone();
+            found.broken.push(format!(
+                "{who} had no receipt for {:?} from {:?}, at most {gap:?}",
+                found.outage,
+                from.since(zero)
+            ));
+        }
         if found.longest_gap > gap {
             let from = w.check.gap_from().since(zero);
             found.broken.push(format!("no receipt for {:?} from {from:?}, at most {gap:?}", found.longest_gap));
--- a/programs/src/fleet/run.rs
+++ b/programs/src/fleet/run.rs
@@ -360,6 +360,7 @@
     figures["reruns"] = json!(found.reruns);
     figures["call_backs"] = json!(found.call_backs);
     figures["slowest_call_back_ms"] = json!(found.slowest_call_back.as_millis());
+    figures["longest_outage_of_a_key_ms"] = json!(found.outage.as_millis());
     figures["longest_gap_ms"] = json!(found.longest_gap.as_millis());
     figures["accept_ms_p50"] = json!(report::percentile(&mut took, 50) as f64 / 1000.0);
     figures["accept_ms_p99"] = json!(report::percentile(&mut took, 99) as f64 / 1000.0);
