Holders that do not hear, or are cut from a store, give way

Now a pull names the last one answered, and a store reports duties whose holder it does not hear or that tell no ends; placement asks the holder to give the duty up and matches one that stands better.

--- a/crates/placement/src/primary.rs
+++ b/crates/placement/src/primary.rs
@@ -46,6 +46,10 @@
     /// Duties their holders are asked to give up, since when.
     shed: BTreeMap<Duty, Time>,
     balanced: Time,
+    /// Duties moved because a store and their holder were cut apart: the
+    /// holder, the store's zone, and since when.
+    apart: BTreeMap<Duty, (Daemon, Option<Zone>, Time)>,
+    begun: BTreeMap<Duty, Time>,
     pending: BTreeMap<u64, (Term, Pending)>,
     /// Members and layouts proposed and not applied yet.
     asked: BTreeMap<String, Time>,
@@ -102,6 +106,8 @@
             late: BTreeSet::new(),
             shed: BTreeMap::new(),
             balanced: now,
+            apart: BTreeMap::new(),
+            begun: BTreeMap::new(),
             pending: BTreeMap::new(),
             asked: BTreeMap::new(),
             placed: BTreeMap::new(),
@@ -159,6 +165,8 @@
                 self.seen.clear();
                 self.late.clear();
                 self.shed.clear();
+                self.apart.clear();
+                self.begun.clear();
                 self.doubts.clear();
                 self.given = Given::new(self.startup.terms, self.election.term());
                 self.placed.clear();
@@ -353,7 +361,7 @@
                     let acts = self.election.hear(from, talk, now);
                     self.act(acts, now);
                 }
-                Msg::Need { asked, have, me, report } => self.on_need(from, asked, have, me, report, now),
+                Msg::Need { asked, heard, have, me, report } => self.on_need(from, asked, heard, have, me, report, now),
                 Msg::Doubts { who } => {
                     for (d, _, _) in who {
                         self.doubts.entry(d).or_default().insert(from.clone(), now);
--- a/crates/placement/src/primary/grants.rs
+++ b/crates/placement/src/primary/grants.rs
@@ -90,6 +90,16 @@
                 self.given.adopt(c.duty.clone(), from.clone(), c.epoch, self.startup.terms.giver_end(now));
             }
         }
+        for duty in &report.unheard {
+            let settled = self.begun.get(duty).is_none_or(|t| now.since(*t) > Span::secs(3));
+            let Some(holder) = self.given.get(duty).filter(|g| now < g.until).map(|g| g.holder.clone()) else { continue };
+            if settled && !self.shed.contains_key(duty) {
+                let zone = self.hard.members.get(from).map(|m| m.zone.clone());
+                self.note(Note::Apart, format!("{duty} at {holder} and {from}"));
+                self.apart.insert(duty.clone(), (holder, zone, now));
+                self.shed.insert(duty.clone(), now);
+            }
+        }
         for (duty, epoch) in &report.gave {
             if self.given.get(duty).is_some_and(|g| g.holder == *from && g.epoch == *epoch) {
                 self.given.release(duty, from);
@@ -163,7 +173,8 @@
                 self.shed.insert(duty.clone(), now);
             }
         }
-        if !self.shed.is_empty() {
+        let moved = self.apart.values().any(|a| now.since(a.2) < Span::secs(15));
+        if !self.shed.is_empty() || moved {
             return;
         }
         let kind = |d: &Duty| matches!(d, Duty::Keep(_));
@@ -186,7 +197,8 @@
     fn live(&self, d: &Daemon, now: Time) -> bool {
         let doubted =
             self.doubts.get(d).is_some_and(|by| by.values().filter(|t| now.since(**t) < Span::millis(2500)).count() >= 2);
-        let heard = self.seen.get(d).is_some_and(|s| now.since(s.at) < LIVE && s.report.as_ref().is_some_and(|r| !r.leaving));
+        let heard =
+            self.seen.get(d).is_some_and(|s| now.since(s.at) < LIVE && s.hears && s.report.as_ref().is_some_and(|r| !r.leaving));
         heard && !self.retiring(d) && !(doubted && now.since(self.seen[d].at) > Span::millis(600))
     }
 
@@ -220,11 +232,25 @@
                 }
                 _ => self.hard.of(Kind::Delivery).map(|m| m.id.clone()).filter(|d| self.live(d, now)).collect(),
             };
+            // Cut apart before: rather one that stands with the store, or for
+            // an endpoint, which many stores feed, in neither of their zones.
+            let apart = self.apart.get(&duty).filter(|a| now.since(a.2) < Span::secs(15));
+            let ill = |d: &Daemon| {
+                let Some((was, zone, _)) = apart else { return 0 };
+                let at = |x: &Daemon| self.hard.members.get(x).map(|m| m.zone.clone());
+                let (here, there) = (at(d), at(was));
+                match duty {
+                    _ if d == was => 3,
+                    Duty::Endpoint(_) => u8::from(here == there || here == *zone),
+                    _ => u8::from(here != *zone),
+                }
+            };
             let spread = |d: &Daemon| hash_of(format!("{duty}@{d}").as_bytes());
-            let Some(best) = fit.into_iter().min_by_key(|d| (loads.get(d).copied().unwrap_or(0), spread(d))) else {
+            let Some(best) = fit.into_iter().min_by_key(|d| (ill(d), loads.get(d).copied().unwrap_or(0), spread(d))) else {
                 continue;
             };
             let Some(epoch) = self.given.give(duty.clone(), best.clone(), now) else { continue };
+            self.begun.insert(duty.clone(), now);
             *loads.entry(best.clone()).or_default() += 2;
             self.note(Note::Granted, format!("{duty} to {best} epoch {epoch}"));
         }
--- a/crates/placement/src/primary/news.rs
+++ b/crates/placement/src/primary/news.rs
@@ -1,8 +1,21 @@
 //! Answering pulls: news, the charter's lease, and grants renewed.
 use crate::prelude::*;
 
+/// A daemon whose last answered pull is older than this does not hear us.
+const DEAF: Span = Span::millis(1700);
+
 impl Placement {
-    pub(super) fn on_need(&mut self, from: Daemon, asked: Time, have: Vector, me: Member, report: Option<Report>, now: Time) {
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn on_need(
+        &mut self,
+        from: Daemon,
+        asked: Time,
+        heard: (Term, Time),
+        have: Vector,
+        me: Member,
+        report: Option<Report>,
+        now: Time,
+    ) {
         if self.election.role() != Role::Primary {
             let hint = self.election.hint().cloned();
             return self.say(&from, Msg::NotPrimary { hint });
@@ -13,7 +26,11 @@
         if self.hard.members.get(&from) != Some(&me) {
             self.propose_once(format!("member {from}"), Order::Member(me.clone()), now);
         }
-        let before = self.seen.insert(from.clone(), Seen { life: me.life, disk: me.disk, at: now, report: report.clone() });
+        // Both times are the asker's own. One that does not hear us is not
+        // renewed: its lease ends there by its own clock, and so must it here.
+        let hears = heard.0 == self.election.term() && asked.since(heard.1) < DEAF;
+        let before =
+            self.seen.insert(from.clone(), Seen { life: me.life, disk: me.disk, at: now, hears, report: report.clone() });
         let anew = before.is_some_and(|b| b.life != me.life);
         let mut grants = Vec::new();
         if self.office == Office::Serving {
@@ -30,7 +47,7 @@
     }
 
     fn renewed(&mut self, from: &Daemon, report: &Report, now: Time) -> Vec<Grant> {
-        if report.leaving {
+        if report.leaving || !self.seen.get(from).is_some_and(|s| s.hears) {
             return Vec::new();
         }
         self.given
--- a/crates/versions/src/link.rs
+++ b/crates/versions/src/link.rs
@@ -21,6 +21,7 @@
     pace: Span,
     due: Time,
     told: Time,
+    heard: (Term, Time),
     term: Term,
     vector: Vector,
     fresh_until: Time,
@@ -48,6 +49,7 @@
             pace,
             due: Time(0),
             told: Time(0),
+            heard: (Term(0), Time(0)),
             term: Term(0),
             vector: Vector::default(),
             fresh_until: Time(0),
@@ -123,7 +125,10 @@
         }
         self.due = now + self.pace;
         let Some(to) = self.target() else { return out };
-        out.push(Effect::Say(to, Msg::Need { asked: now, have: self.vector.clone(), me: self.me.clone(), report: report() }));
+        out.push(Effect::Say(
+            to,
+            Msg::Need { asked: now, heard: self.heard, have: self.vector.clone(), me: self.me.clone(), report: report() },
+        ));
         out
     }
 
@@ -157,6 +162,7 @@
         }
         self.term = term;
         self.told = now;
+        self.heard = (term, if self.heard.0 == term { self.heard.1.max(asked) } else { asked });
         if self.seeds.contains(from) {
             self.hint = Some(from.clone());
         }
--- a/crates/waitlist/src/store.rs
+++ b/crates/waitlist/src/store.rs
@@ -55,6 +55,10 @@
     pub parts: BTreeMap<Place, Part>,
     thens: VecDeque<(u64, Then)>,
     rooms: BTreeMap<Duty, RoomAt>,
+    /// Attempts of a duty that ran out in a row without a word.
+    mute: BTreeMap<Duty, u32>,
+    /// Since when something is due for a duty that nobody with room takes.
+    starved: BTreeMap<Duty, Time>,
     pub held_bytes: i64,
     checkpoint: BTreeMap<Duty, Epoch>,
     restored: bool,
@@ -100,6 +104,8 @@
             parts: BTreeMap::new(),
             thens: VecDeque::new(),
             rooms: BTreeMap::new(),
+            mute: BTreeMap::new(),
+            starved: BTreeMap::new(),
             held_bytes: 0,
             checkpoint: BTreeMap::new(),
             restored: true,
--- a/crates/waitlist/src/store/dispatch.rs
+++ b/crates/waitlist/src/store/dispatch.rs
@@ -24,6 +24,10 @@
                 self.counts.fenced += 1;
                 continue;
             }
+            // Another holder: what its predecessor did not tell is not its doing.
+            if self.rooms.get(&room.duty).is_some_and(|r| r.to != from) {
+                self.mute.remove(&room.duty);
+            }
             if room.since >= bound {
                 self.wake(&room.duty, &places, &holding, now);
             }
@@ -182,6 +186,11 @@
     pub(super) fn on_settled(&mut self, from: Daemon, all: Vec<Settled>, now: Time) {
         let mut noted = Vec::new();
         self.stirred = true;
+        for s in &all {
+            if let Some(rule) = self.link.rules.rule_of(&s.place) {
+                self.mute.remove(&rule.duty(&s.place));
+            }
+        }
         for s in all {
             if !self.serving(&s.place, now) {
                 continue;
@@ -277,6 +286,8 @@
         for place in owned {
             let Some(p) = self.parts.get_mut(&place) else { continue };
             let Some(own) = p.own.as_mut() else { continue };
+            let mute = &mut self.mute;
+            own.lane.flights.values().filter(|f| now >= f.end).for_each(|f| *mute.entry(f.duty.clone()).or_default() += 1);
             let late: Vec<MessageId> = own.lane.overdue(now).into_iter().filter_map(|s| own.lane.ids.get(&s).cloned()).collect();
             // Kept-back successes whose other attempts are over by now.
             let (quiet, lane) = (own.quiet, &own.lane);
@@ -312,9 +323,36 @@
                 self.write(&place, Op::Drop(id), now);
             }
         }
+        self.watch_duties(now);
         self.clean();
     }
 
+    /// Notes duties that have something due and a holder that we do not hear.
+    fn watch_duties(&mut self, now: Time) {
+        if !self.link.fresh(now) {
+            return self.starved.clear();
+        }
+        let (lanes, _) = self.due_lanes(now);
+        self.starved.retain(|d, _| lanes.contains_key(d));
+        for duty in lanes.into_keys() {
+            if self.rooms.get(&duty).is_some_and(|r| now.since(r.at) < Span::millis(1500)) {
+                self.starved.remove(&duty);
+                continue;
+            }
+            self.starved.entry(duty).or_insert(now);
+        }
+    }
+
+    /// What placement is told of them.
+    pub(super) fn unheard(&self, now: Time) -> Vec<Duty> {
+        let quiet = self.starved.iter().filter(|(_, t)| now.since(**t) >= Span::millis(1500)).map(|(d, _)| d.clone());
+        // A delivery always tells an attempt's end; one that does not is cut
+        // off. Moving an endpoint costs its newcomer's share, so twice there.
+        let few = |d: &Duty| if matches!(d, Duty::Endpoint(_)) { 2 } else { 1 };
+        let mute = self.mute.iter().filter(|(d, n)| **n >= few(d)).map(|(d, _)| d.clone());
+        quiet.chain(mute).collect::<BTreeSet<Duty>>().into_iter().collect()
+    }
+
     /// A success kept back is shown now that nothing else is under way.
     fn settle_won(&mut self, place: &Place, id: &MessageId, now: Time) {
         let Some(p) = self.parts.get_mut(place) else { return };
--- a/crates/waitlist/src/store/status.rs
+++ b/crates/waitlist/src/store/status.rs
@@ -25,6 +25,7 @@
             seen,
             held: kept().map(|(k, p, _)| (k.clone(), p.recs.len() as u64)).collect(),
             whole: kept().flat_map(|(k, _, o)| o.whole.iter().map(|(d, m)| (k.clone(), d.clone(), *m))).collect(),
+            unheard: self.unheard(now),
             gave: self.gave.iter().map(|(d, x)| (d.clone(), x.0)).collect(),
             spent: self.spent.iter().map(|(d, e)| (d.clone(), *e)).collect(),
             leaving: self.leaving.is_some(),
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -104,6 +104,9 @@
     // News and leases: one pull serves both.
     Need {
         asked: Time,
+        /// The latest pull of ours that was answered, and by which term: shows
+        /// the primary whether we hear it.
+        heard: (Term, Time),
         have: Vector,
         me: Member,
         report: Option<Report>,
--- a/crates/wire/src/news.rs
+++ b/crates/wire/src/news.rs
@@ -94,6 +94,9 @@
     pub whole: Vec<(Place, Daemon, Mark)>,
     /// Grants whose epoch was closed by the holder: it needs a new one.
     pub spent: Vec<(Duty, Epoch)>,
+    /// Stores: duties whose holder does not reach us, or whom we do not
+    /// reach, though messages are due.
+    pub unheard: Vec<Duty>,
     /// Duties given up on request; they are free at once.
     pub gave: Vec<(Duty, Epoch)>,
     /// The daemon is going away and takes nothing new.
