--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -7,17 +7,44 @@
 #[derive(Clone, Debug)]
 pub enum Ev {
     Tick(Daemon, u64),
-    Frame { to: Daemon, from: Daemon, msg: Box<Msg>, life: u64 },
+    Frame {
+        to: Daemon,
+        from: Daemon,
+        msg: Box<Msg>,
+        life: u64,
+    },
     Synced(Daemon, u64),
-    Arrive { node: Daemon, life: u64, id: CallId, call: Box<Call>, worker: String },
-    RunEnd { node: Daemon, life: u64, id: CallId, worker: String, wlife: u64, receipt: (String, usize), code: u16, lose: bool },
-    Back { node: Daemon, life: u64, id: CallId, reply: Reply },
+    Arrive {
+        node: Daemon,
+        life: u64,
+        id: CallId,
+        call: Box<Call>,
+        worker: String,
+    },
+    RunEnd {
+        node: Daemon,
+        life: u64,
+        id: CallId,
+        worker: String,
+        wlife: u64,
+        receipt: (String, usize),
+        code: u16,
+        lose: bool,
+    },
+    Back {
+        node: Daemon,
+        life: u64,
+        id: CallId,
+        reply: Reply,
+    },
     Hand(usize),
     Next(usize),
     Flow(usize),
     AskTimeout(AskId),
     Look(Looking),
     Act(usize),
+    /// A charter acknowledged 3 s ago must be in force everywhere.
+    InForce(String),
     Settle,
 }
 
@@ -622,6 +649,7 @@
                 let act = self.steps[n].act.clone();
                 self.act(act);
             }
+            Ev::InForce(version) => self.in_force(&version),
             Ev::Settle => {
                 if self.settle() {
                     self.over = true;
@@ -678,6 +706,7 @@
             if self.maybe.is_empty() && self.acked.as_ref().is_some_and(|(b, _)| *b != base) {
                 self.check.flag(format!("a charter made from {base} was acknowledged over {:?}", self.acked));
             }
+            self.soon(Span::secs(3), Ev::InForce(version.clone()));
             self.acked = Some((version, json.to_string()));
         }
         if let Some(zone) = what.strip_prefix("empty ") {
@@ -715,6 +744,24 @@
         serving == 12
     }
 
+    /// No daemon may now act by an older charter: it holds this one or a
+    /// later, or says itself that it can't confirm what it holds.
+    fn in_force(&mut self, version: &str) {
+        let read = |v: &str| -> Option<(u64, u64)> {
+            let (a, b) = v.split_once('.')?;
+            Some((a.parse().ok()?, b.parse().ok()?))
+        };
+        let want = read(version);
+        for id in names().into_iter().filter(|d| d.kind() != Kind::Placement) {
+            let Some(j) = self.status(&id) else { continue };
+            let held = j["charter"].as_str().and_then(read);
+            if j["fresh"] == json!(true) && held < want {
+                self.check.flag(format!("{id} acts by charter {} 3 s after {version} was acknowledged", j["charter"]));
+            }
+            self.count("in force", 1);
+        }
+    }
+
     /// A daemon's status, read aside.
     pub fn status(&mut self, id: &Daemon) -> Option<Value> {
         let now = self.now;
--- a/crates/sim/tests/scenarios.rs
+++ b/crates/sim/tests/scenarios.rs
@@ -232,3 +232,17 @@
     let b: Breakage = |e, _| matches!(e, Effect::Call(_, c) if c.addr.starts_with("10.9.0.3"));
     caught("run 8s", b, "called back");
 }
+
+#[test]
+fn a_charter_that_is_not_in_force_in_time_is_caught() {
+    // News that claims to be fresh and leaves the charter out.
+    let b: Breakage = |e, _| {
+        if let Effect::Say(to, Msg::News { items, .. }) = e {
+            if to.as_str() == "delivery-1" {
+                items.retain(|i| i.1.source() != Source::Charter);
+            }
+        }
+        false
+    };
+    caught("run 10s\nat 2s share curators 20", b, "acts by charter");
+}
