A duty being given up takes nothing new, so that it is soon free

Cause (rolling restart of the real fleet): a leaving store looked for a moment with nobody waiting, which under load never came, and held on for its 8 s. Now a partition being shed hands nothing out and takes nothing in, and goes after 1.5 s at the latest.

--- a/crates/waitlist/src/keep.rs
+++ b/crates/waitlist/src/keep.rs
@@ -82,6 +82,8 @@
     /// has told which of them it holds.
     pub quiet: Time,
     pub whole: BTreeMap<Daemon, Mark>,
+    /// Since when it is being given up: nothing new is taken or handed out.
+    pub shed: Option<Time>,
     pub asked: Time,
     pub began: Time,
 }
@@ -113,6 +115,7 @@
             won: BTreeSet::new(),
             quiet: now,
             whole: BTreeMap::new(),
+            shed: None,
             asked: Time(0),
             began: now,
         }
--- a/crates/waitlist/src/store.rs
+++ b/crates/waitlist/src/store.rs
@@ -257,7 +257,7 @@
             self.sweep(now);
         }
         if let Some(since) = self.leaving {
-            self.hand_over(now);
+            self.shed_all(now);
             let idle = self.parts.values().all(|p| p.own.is_none());
             if idle || now.since(since) > Span::secs(8) {
                 self.out.push(Effect::Gone);
--- a/crates/waitlist/src/store/carry.rs
+++ b/crates/waitlist/src/store/carry.rs
@@ -18,7 +18,8 @@
         let me = self.startup.me.id.clone();
         let to = via.clone().unwrap_or(proxy.clone());
         let word = |word| Msg::Carried { ask, proxy: proxy.clone(), via: via.clone(), word };
-        if !self.serving(&place, now) {
+        let shed = self.parts.get(&place).and_then(|p| p.own.as_ref()).is_some_and(|o| o.shed.is_some());
+        if shed || !self.serving(&place, now) {
             // One hop: the proxy may be cut off from the keeper and we not.
             let keeper = self.link.places.get(&place).map(|p| p.keeper.clone());
             if let (Some(keeper), None, true) = (keeper.filter(|k| *k != me), &via, from.kind() == Kind::Proxy) {
--- a/crates/waitlist/src/store/dispatch.rs
+++ b/crates/waitlist/src/store/dispatch.rs
@@ -114,7 +114,7 @@
             }
             let work = due(&own.lane.line);
             let calls = own.lane.calls.values().any(due);
-            if !(work || calls) || !self.serving(place, now) {
+            if !(work || calls) || own.shed.is_some() || !self.serving(place, now) {
                 continue;
             }
             if let (true, Some(rule)) = (work, self.link.rules.rule_of(place)) {
--- a/crates/waitlist/src/store/opening.rs
+++ b/crates/waitlist/src/store/opening.rs
@@ -18,16 +18,6 @@
                 self.link.held.give_up(&Duty::Keep(place));
                 continue;
             }
-            let idle = |o: &Keep| o.phase == Phase::Serving && o.waits.is_empty();
-            let own = self.parts.get(&place).and_then(|p| p.own.as_ref());
-            if g.shed && own.is_some_and(|o| o.epoch == g.epoch && idle(o)) {
-                self.close(&place, now);
-                let duty = Duty::Keep(place);
-                self.link.held.give_up(&duty);
-                self.gave.insert(duty, (g.epoch, now));
-                self.link.hurry(now);
-                continue;
-            }
             let p = self.parts.entry(place.clone()).or_default();
             if g.epoch < p.promised {
                 self.counts.fenced += 1;
@@ -44,6 +34,9 @@
                     let changed = own.set != g.set;
                     own.set = g.set;
                     own.swap = g.swap;
+                    if g.shed {
+                        own.shed.get_or_insert(now);
+                    }
                     if changed {
                         // A copy acknowledged before may count from now on.
                         self.commit(&place, now);
@@ -212,22 +205,28 @@
         }
     }
 
-    /// Leaving: gives up each partition nobody waits on any more, so that
-    /// placement may grant it at once.
-    pub(super) fn hand_over(&mut self, now: Time) {
-        let idle: Vec<Place> = self
-            .parts
-            .iter()
-            .filter(|(_, p)| p.own.as_ref().is_some_and(|o| o.waits.is_empty()))
-            .map(|(k, _)| k.clone())
-            .collect();
-        for place in idle {
+    /// Gives up each partition being shed once nobody waits on it any more,
+    /// or soon after, so that placement may grant it at once.
+    fn hand_over(&mut self, now: Time) {
+        let done = |o: &Keep| o.shed.is_some_and(|t| o.waits.is_empty() || now.since(t) > Span::millis(1500));
+        let all: Vec<(Place, Epoch)> =
+            self.parts.iter().filter_map(|(k, p)| p.own.as_ref().filter(|o| done(o)).map(|o| (k.clone(), o.epoch))).collect();
+        for (place, epoch) in all {
             self.close(&place, now);
-            self.link.held.give_up(&Duty::Keep(place));
+            let duty = Duty::Keep(place);
+            self.link.held.give_up(&duty);
+            self.gave.insert(duty, (epoch, now));
             self.link.hurry(now);
         }
     }
 
+    /// The daemon leaves: all its partitions are shed.
+    pub(super) fn shed_all(&mut self, now: Time) {
+        for own in self.parts.values_mut().filter_map(|p| p.own.as_mut()) {
+            own.shed.get_or_insert(now);
+        }
+    }
+
     /// No attempt handed out before is under way after this long.
     pub(super) fn bound(&self) -> Span {
         (self.link.rules.attempt_max() + GRACE).percent(110)
@@ -235,6 +234,7 @@
 
     /// Twice a beat: asks again what has not been answered.
     pub(super) fn drive(&mut self, now: Time) {
+        self.hand_over(now);
         let owned: Vec<Place> = self.parts.iter().filter(|(_, p)| p.own.is_some()).map(|(k, _)| k.clone()).collect();
         for place in owned {
             let duty = Duty::Keep(place.clone());
