--- a/crates/shell/src/desk.rs
+++ b/crates/shell/src/desk.rs
@@ -192,9 +192,19 @@
     respond(ctx.context().ask(Ask::Apply(Charge { op: q.op, base: q.base, json: text(&body), patch: true })).await)
 }
 
+#[derive(Deserialize, JsonSchema)]
+struct PlanQuery {
+    empty: Option<String>,
+    retire: Option<String>,
+}
+
 #[endpoint { method = POST, path = "/v1/plan" }]
-async fn plan(ctx: Ctx, body: UntypedBody) -> Got {
-    respond(ctx.context().ask(Ask::Plan { charter: Some(text(&body)), empty: None, retire: None }).await)
+async fn plan(ctx: Ctx, query: Query<PlanQuery>, body: UntypedBody) -> Got {
+    let q = query.into_inner();
+    let json = text(&body);
+    let whole = (!json.is_empty()).then_some(json);
+    let ask = Ask::Plan { charter: whole, empty: q.empty.map(Zone), retire: q.retire.map(Daemon) };
+    respond(ctx.context().ask(ask).await)
 }
 
 #[derive(Deserialize, JsonSchema)]
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -89,6 +89,18 @@
             let s = w.status(&Daemon(format!("placement-{n}"))).unwrap_or_default();
             s["retiring"][d]["state"] == "done"
         });
+        // What the planner said is what came.
+        let asked = script.steps.iter().any(|s| matches!(s.act, Act::PlanRetire(_)));
+        if asked && w.planned.is_empty() {
+            w.check.flag("the planner named no seats".into());
+        }
+        let s = w.status(&Daemon("placement-1".into())).unwrap_or_default();
+        for p in w.planned.clone() {
+            let set = s["layout"][p["place"].as_str().unwrap_or_default()].as_array().cloned().unwrap_or_default();
+            if !set.contains(&p["to"]) || set.contains(&p["from"]) {
+                w.check.flag(format!("planned {p}, and the write set is {set:?}"));
+            }
+        }
         if !done {
             w.check.flag(format!("{d} is not retired"));
         }
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -41,6 +41,8 @@
     BadCharter,
     Poison(u64),
     Retire(String),
+    /// Ask what retiring would move; checked against what then happens.
+    PlanRetire(String),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -125,6 +127,7 @@
         ["share", x, n] => Act::Share(s(x), num(n)?),
         ["race", a, b] => Act::Race(num(a)?, num(b)?),
         ["badcharter"] => Act::BadCharter,
+        ["plan-retire", x] => Act::PlanRetire(s(x)),
         ["retire", x] => Act::Retire(s(x)),
         ["poison", n] => Act::Poison(num(n)?),
         _ => return Err(format!("'{}' is no act", w.join(" "))),
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -84,6 +84,8 @@
     pub acked: Option<(String, String)>,
     /// Charters whose end was told as unknown: they may come into force.
     pub maybe: Vec<String>,
+    /// Seats a plan said would move.
+    pub planned: Vec<Value>,
     pub flows: u64,
     pub open: usize,
     pub counts: BTreeMap<&'static str, u64>,
@@ -131,6 +133,7 @@
             shares: vec![("curators".into(), 60), ("partners".into(), 40)],
             acked: None,
             maybe: Vec::new(),
+            planned: Vec::new(),
             flows: 0,
             open: 0,
             counts: BTreeMap::new(),
@@ -719,6 +722,9 @@
                 self.check.bar(worker, self.now);
             }
         }
+        if what == "plan" && v.code == 200 {
+            self.planned = j["seats"].as_array().cloned().unwrap_or_default();
+        }
         if what == "show" && v.code == 200 {
             self.count("shown", 1);
             let shown = j["charter"].clone();
@@ -954,6 +960,10 @@
                 self.operate(Ask::Apply(charge), "", "charter bad");
             }
             Act::Poison(n) => self.poison = n,
+            Act::PlanRetire(w) => {
+                let ask = Ask::Plan { charter: None, empty: None, retire: Some(Daemon(w)) };
+                self.operate(ask, "", "plan");
+            }
             Act::Retire(w) => self.operate(Ask::Retire { store: Daemon(w) }, "", "retire"),
         }
     }
