--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -40,6 +40,9 @@
     pub zone: String,
     /// For siblings, TCP and UDP.
     pub listen: String,
+    /// Where siblings reach it, when that is not `listen`.
+    #[serde(default)]
+    pub announce: Option<String>,
     /// For callers and operators.
     pub http: String,
     #[serde(default)]
@@ -189,7 +192,8 @@
     /// Checks everything that can be checked without starting.
     pub fn check(&self, kind: &str) -> Result<(), StartupError> {
         ensure!(self.id.starts_with(&format!("{kind}-")), WrongKindSnafu { id: &self.id, kind });
-        for (key, value) in [("listen", &self.listen), ("http", &self.http)] {
+        let announce = self.announce.as_ref().unwrap_or(&self.listen);
+        for (key, value) in [("listen", &self.listen), ("http", &self.http), ("announce", announce)] {
             ensure!(value.parse::<SocketAddr>().is_ok(), AddressSnafu { key, value });
         }
         ensure!(!self.cluster.is_empty(), NeededSnafu { key: "cluster" });
@@ -216,7 +220,7 @@
         Member {
             id: Daemon(self.id.clone()),
             zone: Zone(self.zone.clone()),
-            addr: self.listen.clone(),
+            addr: self.announce.clone().unwrap_or_else(|| self.listen.clone()),
             http: self.http.clone(),
             life,
             disk: Mark(0),
--- a/programs/src/fleet/run.rs
+++ b/programs/src/fleet/run.rs
@@ -132,6 +132,7 @@
 struct Stage {
     fleet: Fleet,
     world: Arc<World>,
+    cuts: Arc<Cuts>,
     gone: Vec<(f64, Fault)>,
 }
 
@@ -147,7 +148,7 @@
         f.who = self.name(&f.who).await;
         let known = self.fleet.all.contains_key(&f.who)
             || self.world.moods.lock().is_ok_and(|m| m.contains_key(&f.who))
-            || matches!(f.verb, Verb::KillAll | Verb::Zone);
+            || matches!(f.verb, Verb::KillAll | Verb::Zone | Verb::Cut | Verb::CutOne);
         if !known {
             return Err(format!("no process or stand-in is named '{}'", f.who));
         }
@@ -174,6 +175,7 @@
             }
             Verb::Lose => self.world.mood(&f.who, |m| m.lose = 5),
             Verb::Crawl => self.world.mood(&f.who, |m| m.slow = Duration::from_millis(1500)),
+            Verb::Cut | Verb::CutOne => self.cut(&f, true)?,
             Verb::Zone => {
                 let path = format!("/v1/zones/{}/empty", f.who);
                 let said = order(&self.fleet, http::Method::PUT, &path, json!({"on": true}).to_string()).await?;
@@ -189,6 +191,15 @@
         Ok(())
     }
 
+    fn cut(&self, f: &Fault, on: bool) -> Result<(), String> {
+        let Some((a, b)) = f.who.split_once('/') else { return Err(format!("'{}' names no two zones; write z1/z2", f.who)) };
+        self.cuts.set(a, b, on);
+        if f.verb == Verb::Cut {
+            self.cuts.set(b, a, on);
+        }
+        Ok(())
+    }
+
     async fn end(&mut self, f: Fault, at: f64) -> Result<(), String> {
         println!("{at:7.2} s  {:?} {} ends", f.verb, f.who);
         match f.verb {
@@ -220,6 +231,7 @@
             }
             Verb::Lose => self.world.mood(&f.who, |m| m.lose = 0),
             Verb::Crawl => self.world.mood(&f.who, |m| m.slow = Duration::ZERO),
+            Verb::Cut | Verb::CutOne => self.cut(&f, false)?,
             Verb::Zone => {
                 self.world.note(|c| c.restore_zone(&f.who));
                 let path = format!("/v1/zones/{}/empty", f.who);
@@ -246,9 +258,26 @@
 /// Runs a plan; `Ok` holds the figures, and whether no rule was broken.
 pub async fn run(plan: Plan) -> Result<(Value, bool), String> {
     let from = Instant::now();
-    let mut fleet = Fleet::lay(&plan.samples.join(&plan.house), &plan.dir, plan.edges)?;
+    let mut fleet = Fleet::lay(
+        &plan.samples.join(&plan.house),
+        &plan.dir,
+        plan.edges,
+        plan.faults.iter().any(|f| matches!(f.verb, Verb::Cut | Verb::CutOne)),
+    )?;
     let world = World::new();
     people(&mut fleet, &world, &plan)?;
+    let cuts = Arc::new(Cuts::default());
+    for (id, front, back, zone) in fleet.relays.clone() {
+        let tcp = std::net::TcpListener::bind(&front).map_err(|e| e.to_string())?;
+        let udp = std::net::UdpSocket::bind(&front).map_err(|e| e.to_string())?;
+        cuts.know(&id, &zone);
+        crate::fleet::relay::start(cuts.clone(), tcp, udp, back, zone)?;
+    }
+    for n in 1..=plan.edges {
+        for kind in ["proxy", "agent"] {
+            cuts.know(&format!("{kind}-{n}"), &format!("z{}", (n - 1) % 3 + 1));
+        }
+    }
     for id in fleet.all.keys().cloned().collect::<Vec<_>>() {
         fleet.start(&id, true)?;
     }
@@ -298,7 +327,7 @@
     for k in traffic(&fleet, &plan) {
         callers.begin(k);
     }
-    let mut stage = Stage { fleet, world: world.clone(), gone: Vec::new() };
+    let mut stage = Stage { fleet, world: world.clone(), cuts, gone: Vec::new() };
     let begun = Instant::now();
     let mut faults: std::collections::VecDeque<Fault> = plan.faults.clone().into();
     while begun.elapsed() < Duration::from_secs(plan.seconds) || !faults.is_empty() || !stage.gone.is_empty() {
