--- a/crates/wire/src/step.rs
+++ b/crates/wire/src/step.rs
@@ -101,6 +101,8 @@
     Lost(Sent),
 }
 
+/// Events live for one step; boxing would only cost.
+#[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// A clock event; nothing else happened.
