A quiet partition keeps its mate

Cause (a 230 s run of the real fleet): a mate counted as silent from its last word, so the first message after a pause found it 'silent' while it was still being sent, and the second copy moved, whole, to the other sibling: 462 moves in one store's log without a fault. Ruled out: doubts and lease lapses (none logged). Now silence counts from the first op not acknowledged. The same run showed the reader flagging messages past their reading time; the checker now knows it.

--- a/crates/checker/src/rules.rs
+++ b/crates/checker/src/rules.rs
@@ -136,6 +136,12 @@
         let Some(m) = self.all.get_mut(id) else { return };
         let accepted = m.words.iter().any(|w| w.1 == Word::Accepted);
         let Some(state) = state else {
+            // It may be forgotten once it ended long enough ago.
+            let won = m.receipts.iter().filter_map(|r| r.done).filter(|d| d.1).map(|d| d.0).min();
+            if won.is_some_and(|t| now.since(t) > Span::secs(120)) {
+                m.last_state = "past its reading time".into();
+                return;
+            }
             if accepted {
                 self.bad(format!("{id}: accepted, and then not known"));
             }
--- a/crates/sim/src/random.rs
+++ b/crates/sim/src/random.rs
@@ -79,5 +79,6 @@
         gap: None,
         accepted: 1,
         retired: None,
+        mates: None,
     }
 }
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -121,6 +121,10 @@
             found.broken.push(format!("no receipt for {:?} from {from:?}, at most {gap:?}", found.longest_gap));
         }
     }
+    let mates = w.counts.get("mates").copied().unwrap_or(0);
+    if script.mates.is_some_and(|m| mates > m) {
+        found.broken.push(format!("second copies moved {mates} times"));
+    }
     if found.accepted < script.accepted {
         found.broken.push(format!("{} accepted, {} expected", found.accepted, script.accepted));
     }
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -65,6 +65,8 @@
     pub accepted: usize,
     /// A store that must be retired for good by the end.
     pub retired: Option<String>,
+    /// How often a second copy may move to another sibling.
+    pub mates: Option<u64>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -151,6 +153,7 @@
         gap: None,
         accepted: 1,
         retired: None,
+        mates: None,
     };
     for (n, line) in text.lines().enumerate() {
         let fail = |why: String| ScriptError { line: n + 1, why };
@@ -164,6 +167,7 @@
             ["run", t] => s.run = span(t).map_err(fail)?,
             ["rate", x] => s.rate = num(x).map_err(fail)?,
             ["expect", "gap", t] => s.gap = Some(span(t).map_err(fail)?),
+            ["expect", "mates", x] => s.mates = Some(num(x).map_err(fail)?),
             ["expect", "retired", x] => s.retired = Some(x.to_string()),
             ["expect", "accepted", x] => s.accepted = num(x).map_err(fail)?,
             ["at", t, rest @ ..] => {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -260,6 +260,10 @@
                     self.answer(ask, Some(v));
                 }
                 Effect::Call(call_id, call) => self.call(id, call_id, call),
+                Effect::Note(Note::MateMatched, text) => {
+                    self.count("mates", 1);
+                    self.say(format!("{id} 304 {text}"));
+                }
                 Effect::Note(note, text) => self.say(format!("{id} {} {}: {text}", note.number(), note.what())),
                 Effect::Learn(..) | Effect::Zone(..) | Effect::Gone => {}
             }
--- a/crates/waitlist/src/store/copy.rs
+++ b/crates/waitlist/src/store/copy.rs
@@ -51,7 +51,7 @@
         // A mate that lags and has not moved for a while gives way to another.
         let sib = own.sibs.entry(mate.clone()).or_default();
         let behind = sib.have.is_none_or(|h| h < top);
-        let quiet = now.since(sib.heard.max(own.mate_since)) > Span::millis(900);
+        let quiet = now.since(sib.heard.max(own.mate_since).max(sib.told)) > Span::millis(900);
         let leaves = own.swap.as_ref().is_some_and(|s| s.0 == mate);
         let switch = (behind && quiet) || leaves;
         if behind && !switch && now.since(sib.asked) > Span::millis(300) {
@@ -309,8 +309,11 @@
             return;
         };
         if let Some(s) = own.sibs.get_mut(&mate) {
+            // From here on it has something to acknowledge.
+            if sent == have {
+                s.told = now;
+            }
             s.sent = sent + ops.len() as u64;
-            s.told = now;
             if s.sent < top {
                 self.dirty.insert(place.clone());
             }
--- a/programs/src/fleet/run.rs
+++ b/programs/src/fleet/run.rs
@@ -250,6 +250,10 @@
         return m.words.last().is_some_and(|w| w.1 == Word::NotTaken);
     }
     let state = callers.look(&m.list, id, &m.key).await;
+    if state.as_deref() == Some("gone") && callers.world.note(|c| c.message(id).is_some_and(|m| m.last_state.starts_with("past")))
+    {
+        return true;
+    }
     let over = state.is_some_and(|s| s != "waiting");
     let owed = m.desk && !m.poison && m.backs.is_empty();
     over && !owed && callers.look_body(&m.list, id, &m.key).await
