A dead mate is still found silent

Cause: the change before this one took the start of silence from the last sending, which is repeated every 300 ms, so a mate that was gone was never silent (scenarios 04, 29 and others, 14 of 152 runs). Now it counts from when the mate first lacked something.

--- a/crates/waitlist/src/keep.rs
+++ b/crates/waitlist/src/keep.rs
@@ -42,7 +42,8 @@
     /// Ops of this epoch it has synced; `None` until it is whole under it.
     pub have: Option<u64>,
     pub sent: u64,
-    pub told: Time,
+    /// Since when it lacks something.
+    pub owed: Option<Time>,
     pub heard: Time,
     pub asked: Time,
 }
--- a/crates/waitlist/src/store.rs
+++ b/crates/waitlist/src/store.rs
@@ -312,7 +312,7 @@
     fn end(&mut self, now: Time) -> Vec<Effect> {
         self.fill(now);
         for place in std::mem::take(&mut self.dirty) {
-            self.spread(&place, now);
+            self.spread(&place);
         }
         if self.ledger.wants_fold() {
             let lines = self.fold_lines();
--- a/crates/waitlist/src/store/copy.rs
+++ b/crates/waitlist/src/store/copy.rs
@@ -51,7 +51,9 @@
         // A mate that lags and has not moved for a while gives way to another.
         let sib = own.sibs.entry(mate.clone()).or_default();
         let behind = sib.have.is_none_or(|h| h < top);
-        let quiet = now.since(sib.heard.max(own.mate_since).max(sib.told)) > Span::millis(900);
+        // Silence counts from when there was something to acknowledge.
+        sib.owed = behind.then(|| sib.owed.unwrap_or(now));
+        let quiet = now.since(sib.heard.max(own.mate_since).max(sib.owed.unwrap_or(now))) > Span::millis(900);
         let leaves = own.swap.as_ref().is_some_and(|s| s.0 == mate);
         let switch = (behind && quiet) || leaves;
         if behind && !switch && now.since(sib.asked) > Span::millis(300) {
@@ -290,7 +292,7 @@
     }
 
     /// Sends the mate what it lacks of the latest ops.
-    pub(super) fn spread(&mut self, place: &Place, now: Time) {
+    pub(super) fn spread(&mut self, place: &Place) {
         let Some(p) = self.parts.get_mut(place) else { return };
         let Some(own) = p.own.as_mut() else { return };
         let top = p.n;
@@ -309,10 +311,6 @@
             return;
         };
         if let Some(s) = own.sibs.get_mut(&mate) {
-            // From here on it has something to acknowledge.
-            if sent == have {
-                s.told = now;
-            }
             s.sent = sent + ops.len() as u64;
             if s.sent < top {
                 self.dirty.insert(place.clone());
