--- a/crates/shell/src/desk.rs
+++ b/crates/shell/src/desk.rs
@@ -257,7 +257,7 @@
 
 /// Starts the HTTP thread and waits until it listens.
 pub fn start(face: Face, addr: &str, desk: Arc<Desk>) -> Result<(), String> {
-    let config = ConfigDropshot {
+    let form = ConfigDropshot {
         bind_address: addr.parse().map_err(|e| format!("{addr}: {e}"))?,
         default_request_body_max_bytes: 1 << 20,
         default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
@@ -269,7 +269,7 @@
         let Ok(rt) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
         rt.block_on(async move {
             let log = slog::Logger::root(slog::Discard, slog::o!());
-            match ServerBuilder::new(api, desk, log).config(config).start() {
+            match ServerBuilder::new(api, desk, log).config(form).start() {
                 Ok(server) => {
                     let _ = tx.send(Ok(()));
                     let _ = server.await;
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -203,7 +203,7 @@
         n.disk.busy = false;
         // Its callers' connections break.
         for ask in std::mem::take(&mut n.asks) {
-            self.answer(ask, None);
+            self.told(ask, None);
         }
     }
 
@@ -257,7 +257,7 @@
                     if let Some(n) = self.nodes.get_mut(id) {
                         n.asks.remove(&ask);
                     }
-                    self.answer(ask, Some(v));
+                    self.told(ask, Some(v));
                 }
                 Effect::Call(call_id, call) => self.call(id, call_id, call),
                 Effect::Note(Note::MateMatched, text) => {
@@ -409,7 +409,7 @@
         true
     }
 
-    fn answer(&mut self, id: AskId, v: Option<Verdict>) {
+    fn told(&mut self, id: AskId, v: Option<Verdict>) {
         let Some((node, asked)) = self.asks.remove(&id) else { return };
         if let Some(n) = self.nodes.get_mut(&node) {
             n.asks.remove(&id);
@@ -650,7 +650,7 @@
             Ev::Hand(n) => self.hand(n),
             Ev::Next(c) => self.next_turn(c),
             Ev::Flow(n) => self.flow(n),
-            Ev::AskTimeout(id) => self.answer(id, None),
+            Ev::AskTimeout(id) => self.told(id, None),
             Ev::Look(l) => self.look(l),
             Ev::Act(n) => {
                 let act = self.steps[n].act.clone();
