--- a/crates/delivery/src/run.rs
+++ b/crates/delivery/src/run.rs
@@ -176,9 +176,7 @@
     fn hear(&mut self, from: Daemon, msg: Msg, now: Time) {
         match msg {
             Msg::News { asked, term, fresh, items, grants, late } => {
-                let mut out = std::mem::take(&mut self.out);
-                let change = self.link.news(&from, asked, term, fresh, items, grants, late, now, &mut out);
-                self.out = out;
+                let change = self.link.news(&from, asked, term, fresh, items, grants, late, now, &mut self.out);
                 self.learn(change, now);
             }
             Msg::NotPrimary { hint } => self.link.not_primary(&from, hint, now),
--- a/crates/ingest/src/agent.rs
+++ b/crates/ingest/src/agent.rs
@@ -35,9 +35,7 @@
     fn hear(&mut self, from: Daemon, msg: Msg, now: Time) {
         match msg {
             Msg::News { asked, term, fresh, items, grants, late } => {
-                let mut out = std::mem::take(&mut self.out);
-                let change = self.link.news(&from, asked, term, fresh, items, grants, late, now, &mut out);
-                self.out = out;
+                let change = self.link.news(&from, asked, term, fresh, items, grants, late, now, &mut self.out);
                 if change.sources.contains(&Source::Members) {
                     self.watch.learn(self.link.spots(), now);
                 }
--- a/crates/ingest/src/proxy.rs
+++ b/crates/ingest/src/proxy.rs
@@ -377,9 +377,7 @@
             Event::Clock => self.on_clock(now),
             Event::Hear { from, msg } => match msg {
                 Msg::News { asked, term, fresh, items, grants, late } => {
-                    let mut out = std::mem::take(&mut self.out);
-                    let change = self.link.news(&from, asked, term, fresh, items, grants, late, now, &mut out);
-                    self.out = out;
+                    let change = self.link.news(&from, asked, term, fresh, items, grants, late, now, &mut self.out);
                     if change.sources.contains(&Source::Charter) {
                         self.seats.shares(&self.link.rules.shares);
                     }
--- a/crates/waitlist/src/part.rs
+++ b/crates/waitlist/src/part.rs
@@ -46,7 +46,7 @@
                 }
                 0
             }
-            Op::Drop(id) => self.drop(place, id, home, ledger),
+            Op::Drop(id) => self.drop(place, id, ledger),
         }
     }
     pub fn put(&mut self, head: &Head, stage: Stage, body: &Bytes, home: u64, now: Time, ledger: &mut Ledger) -> i64 {
@@ -66,7 +66,7 @@
         self.recs.insert(head.id.clone(), rec);
         body.len() as i64
     }
-    pub fn drop(&mut self, place: &Place, id: &MessageId, _home: u64, ledger: &mut Ledger) -> i64 {
+    pub fn drop(&mut self, place: &Place, id: &MessageId, ledger: &mut Ledger) -> i64 {
         let Some(r) = self.recs.remove(id) else { return 0 };
         ledger.unsettle(r.home);
         ledger.graves.push((r.home, place.clone(), id.clone()));
@@ -81,7 +81,7 @@
         let gone: Vec<MessageId> = self.recs.keys().filter(|i| !want.contains_key(i)).cloned().collect();
         let mut held = 0;
         for id in gone {
-            held += self.drop(place, &id, 0, ledger);
+            held += self.drop(place, &id, ledger);
         }
         for (id, r) in self.recs.iter_mut() {
             let Some((stage, seq)) = want.get(id) else { continue };
--- a/crates/waitlist/src/store/opening.rs
+++ b/crates/waitlist/src/store/opening.rs
@@ -180,7 +180,7 @@
     /// The one function for every change of a partition's phase.
     pub(super) fn turn(&mut self, place: &Place, phase: Phase, now: Time) {
         let bound = self.bound();
-        let rules = self.link.rules.clone();
+        let ordered = self.link.rules.rule_of(place).is_some_and(|r| r.ordered);
         let Some(p) = self.parts.get_mut(place) else { return };
         let Some(own) = p.own.as_mut() else { return };
         own.phase = phase;
@@ -193,7 +193,7 @@
             }
             Phase::Serving => {
                 own.quiet = now + bound;
-                own.lane = Lane { ordered: rules.rule_of(place).is_some_and(|r| r.ordered), ..Lane::default() };
+                own.lane = Lane { ordered, ..Lane::default() };
                 let mut all: Vec<&Rec> = p.recs.values().collect();
                 all.sort_by_key(|r| r.head.seq);
                 for r in all {
