A refusal is true of the id for every caller, from memory alone

The edge refused by itself, and a keeper's refusal spoke of one copy only.

Ruled out: copies of an old keeper resurfacing (seals never did), late words.

--- a/crates/ingest/src/proxy.rs
+++ b/crates/ingest/src/proxy.rs
@@ -28,8 +28,9 @@
 }
 
 /// A message on its way. Invariants: `open` names the copies that may still
-/// be written somewhere; "not taken" is told only when none is open, or when
-/// the keeper has durably refused it.
+/// be written somewhere; "not taken" is told on the keeper's word, which
+/// speaks of the id, or when the caller says that this is the id's first
+/// sending and no copy was ever sent.
 struct Carry {
     ask: AskId,
     tenant: String,
@@ -37,18 +38,17 @@
     place: Place,
     head: Head,
     body: Bytes,
-    again: bool,
-    open: BTreeMap<u64, Copy>,
-    doubt: bool,
+    first: bool,
+    /// The edge's own refusal, to be made true by the keeper.
+    refuse: Option<Refusal>,
+    open: BTreeSet<u64>,
+    sent_any: bool,
+    stale: u32,
     since: Time,
     sent: Time,
     tried: BTreeSet<Daemon>,
 }
 
-struct Copy {
-    durable: bool,
-}
-
 struct Peek {
     ask: AskId,
     place: Place,
@@ -66,6 +66,8 @@
     carries: BTreeMap<u64, Carry>,
     copies: BTreeMap<u64, u64>,
     peeks: BTreeMap<u64, Peek>,
+    /// Each store's clock as last heard, and when.
+    clocks: BTreeMap<Daemon, (Reading, Time)>,
     next: u64,
     counts: Counts,
     leaving: Option<Time>,
@@ -85,6 +87,7 @@
             carries: BTreeMap::new(),
             copies: BTreeMap::new(),
             peeks: BTreeMap::new(),
+            clocks: BTreeMap::new(),
             next,
             counts: Counts::default(),
             leaving: None,
@@ -96,11 +99,22 @@
         self.out.push(Effect::Tell(ask, v));
     }
 
+    /// Refuses at once, on the caller's word that the id was never sent.
     fn refuse(&mut self, ask: AskId, stop: Stop) {
         self.counts.refused += 1;
         self.tell(ask, verdicts::not_taken(stop.code, &stop.why, stop.after));
     }
 
+    /// Refuses a sending whose id may have been sent before, though its
+    /// partition can't be told: of the id nothing is known.
+    fn refuse_sending(&mut self, ask: AskId, first: bool, stop: Stop) {
+        if first {
+            return self.refuse(ask, stop);
+        }
+        self.counts.unknown += 1;
+        self.tell(ask, verdicts::refused_unknown(stop.code, &stop.why));
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn on_hand(
         &mut self,
@@ -111,33 +125,41 @@
         key: String,
         desk: String,
         ttl: Option<Span>,
-        again: bool,
+        first: bool,
         body: Bytes,
         now: Time,
     ) {
         self.counts.handed += 1;
-        let soon = Some(Span::secs(1));
         let stop = |code, why: &str, after| Stop { code, why: why.to_string(), after };
         if id.as_str().is_empty() || id.as_str().len() > 128 || key.len() > 256 {
+            // No message can ever have been taken under these.
             return self.refuse(ask, stop(400, "give an id of 1 to 128 bytes and a key of at most 256", None));
         }
         if !self.link.fresh(now) || self.leaving.is_some() {
-            if again {
+            if !first {
+                self.counts.unknown += 1;
                 return self.tell(ask, verdicts::unknown(&id));
             }
-            return self.refuse(ask, stop(503, "this proxy can't confirm the charter in force", soon));
+            return self.refuse(ask, stop(503, "this proxy can't confirm the charter in force", Some(Span::secs(1))));
         }
         let Some(rule) = self.link.rules.rule(&tenant, &waitlist).cloned() else {
-            return self.refuse(ask, stop(404, "no such tenant or waitlist", None));
+            return self.refuse_sending(ask, first, stop(404, "no such tenant or waitlist", None));
         };
-        let msg = Handed { id: &id, key: &key, desk: &desk, ttl, len: body.len() as u64, again };
-        let made = match run(&rule, &msg, &mut self.seats) {
-            Ok(made) => made,
-            Err(s) => return self.refuse(ask, s),
+        let msg = Handed { id: &id, key: &key, desk: &desk, ttl, len: body.len() as u64 };
+        let made = run(&rule, &msg, &mut self.seats);
+        let refuse = match made.stop {
+            Some(s) if first || !made.placed => return self.refuse_sending(ask, first, s),
+            // The keeper has to hear of it, and what is under way is bounded.
+            Some(_) if self.carries.len() as u64 >= self.startup.seats * 4 => {
+                self.counts.unknown += 1;
+                return self.tell(ask, verdicts::unknown(&id));
+            }
+            Some(s) => Some(Refusal { why: s.why, after: s.after.unwrap_or(Span::ZERO), code: s.code }),
+            None => None,
         };
         let place = Place { tenant: tenant.clone(), waitlist, part: made.part };
-        let crc = crc32(&body);
-        let head = Head { id, key, seq: 0, crc, len: body.len() as u32, desk, ttl };
+        let head = Head { id, key, seq: 0, crc: crc32(&body), len: body.len() as u32, desk, ttl };
+        let body = if refuse.is_some() { Bytes::new() } else { body };
         let carry = Carry {
             ask,
             tenant,
@@ -145,9 +167,11 @@
             place,
             head,
             body,
-            again,
-            open: BTreeMap::new(),
-            doubt: false,
+            first,
+            refuse,
+            open: BTreeSet::new(),
+            sent_any: false,
+            stale: 0,
             since: now,
             sent: now,
             tried: BTreeSet::new(),
@@ -175,21 +199,25 @@
         };
         c.tried.insert(to.clone());
         c.sent = now;
+        c.sent_any = true;
         let copy = self.next;
         self.next += 1;
-        // Beside another copy, a refusal must be a durable one.
-        let durable = c.again || !c.open.is_empty() || c.doubt;
-        c.open.insert(copy, Copy { durable });
+        c.open.insert(copy);
         self.copies.insert(copy, n);
+        // Sent around a cut, it is the keeper's clock that counts all the same.
+        let keeper = self.link.places.get(&c.place).map(|p| &p.keeper);
+        let reading = keeper.and_then(|k| self.clocks.get(k)).map(|r| r.0);
         let msg = Msg::Carry {
             ask: copy,
             proxy: self.startup.me.id.clone(),
             via: None,
-            again: durable,
+            again: true,
             place: c.place.clone(),
             version: self.link.rules.version,
             head: c.head.clone(),
             body: c.body.clone(),
+            stamp: Some(Stamp { reading, age: now.since(c.since) }),
+            refuse: c.refuse.clone(),
         };
         self.out.push(Effect::Say(to, msg));
         true
@@ -197,7 +225,7 @@
 
     fn close(&mut self, n: u64, v: Verdict) {
         let Some(c) = self.carries.remove(&n) else { return };
-        for copy in c.open.keys() {
+        for copy in &c.open {
             self.copies.remove(copy);
         }
         if c.seated {
@@ -214,39 +242,57 @@
     /// The final verdict, at once, with what is certain.
     fn give_up(&mut self, n: u64) {
         let Some(c) = self.carries.get(&n) else { return };
-        let v = match c.again || c.doubt || !c.open.is_empty() {
-            true => verdicts::unknown(&c.head.id),
-            false => verdicts::not_taken(503, "no store keeps this partition just now", Some(Span::secs(1))),
+        let v = match c.first && !c.sent_any {
+            true => verdicts::not_taken(503, "no store keeps this partition just now", Some(Span::secs(1))),
+            false => verdicts::unknown(&c.head.id),
         };
         self.close(n, v);
     }
 
-    fn on_carried(&mut self, copy: u64, word: Carried, now: Time) {
+    fn on_carried(&mut self, copy: u64, word: Carried, clock: Option<(Daemon, Reading)>, now: Time) {
+        if let Some((d, r)) = clock {
+            if self.link.members.contains_key(&d) {
+                self.clocks.insert(d, (r, now));
+            }
+        }
         let Some(n) = self.copies.remove(&copy) else { return };
         let Some(c) = self.carries.get_mut(&n) else { return };
-        let Some(was) = c.open.remove(&copy) else { return };
+        if !c.open.remove(&copy) {
+            return;
+        }
         let id = c.head.id.clone();
+        let late = now.since(c.since) > self.startup.limit;
         match word {
             Carried::Accepted { stage } => self.close(n, verdicts::accepted(&id, stage)),
             Carried::Conflict => self.close(n, verdicts::conflict(&id)),
+            // An old word might speak of an id that was sent again since.
+            Carried::NotTaken { .. } if late => self.give_up(n),
             Carried::NotTaken { why, after, code } => {
-                if was.durable || (c.open.is_empty() && !c.doubt) {
-                    let after = (after > Span::ZERO).then_some(after);
-                    self.close(n, verdicts::not_taken(code, &why, after));
-                } else if c.open.is_empty() {
-                    self.give_up(n);
-                }
+                let after = (after > Span::ZERO).then_some(after);
+                self.close(n, verdicts::not_taken(code, &why, after));
             }
             Carried::Unknown => {
-                c.doubt = true;
                 if c.open.is_empty() {
                     self.give_up(n);
                 }
             }
+            Carried::Stale if late => self.give_up(n),
+            // Nothing was written, and the keeper's clock is known now; a
+            // message handed in before the keeper opened has to be sent anew.
+            Carried::Stale => {
+                c.stale += 1;
+                if c.stale <= 2 {
+                    if !self.send_copy(n, false, now) {
+                        self.give_up(n);
+                    }
+                } else if c.open.is_empty() {
+                    self.give_up(n);
+                }
+            }
             // Nothing was written there; the newest places may name another.
             Carried::Elsewhere => {
                 self.link.hurry(now);
-                if now.since(c.since) > self.startup.limit {
+                if late {
                     self.give_up(n);
                 }
             }
@@ -382,12 +428,12 @@
                         self.seats.shares(&self.link.rules.shares);
                     }
                 }
-                Msg::Carried { ask, word, .. } => self.on_carried(ask, word, now),
+                Msg::Carried { ask, word, clock, .. } => self.on_carried(ask, word, clock, now),
                 Msg::Peeked { ask, found, .. } => self.on_peeked(ask, found, now),
                 _ => {}
             },
-            Event::Ask(ask, Ask::Hand { tenant, waitlist, id, key, desk, ttl, again, body }) => {
-                self.on_hand(ask, tenant, waitlist, id, key, desk, ttl, again, body, now)
+            Event::Ask(ask, Ask::Hand { tenant, waitlist, id, key, desk, ttl, first, body }) => {
+                self.on_hand(ask, tenant, waitlist, id, key, desk, ttl, first, body, now)
             }
             Event::Ask(ask, Ask::Look { tenant, waitlist, id, key, body }) => {
                 self.on_look(ask, tenant, waitlist, id, key, body, now)
--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -164,6 +164,12 @@
             (!(1..=20).contains(&self.drift_percent), "times.drift_percent is not within 1 to 20", "use 5"),
             (self.pull == 0 || self.poll == 0 || self.backoff == 0, "a pace is zero", "give each at least 1 ms"),
             (self.give_up <= self.second_way, "times.give_up is not over times.second_way", "leave time for the second way"),
+            (self.give_up > 2000, "times.give_up is over 2000", "a proxy must tell a keeper's word within 2 s; use 2000 or less"),
+            (
+                self.lease * (100 - self.drift_percent.min(100)) / 100 < 2100 + self.pull,
+                "times.lease leaves no time in which a refusal is certain",
+                "let a lease less its margin be 2100 ms longer than times.pull",
+            ),
             (
                 self.budget() > 12_000,
                 "service could take over 12 s to come back after a hard fault",
--- a/crates/sim/src/house.rs
+++ b/crates/sim/src/house.rs
@@ -62,6 +62,7 @@
     files: Vec<(String, Bytes)>,
     found: bool,
     seed: u64,
+    bounds: (usize, u64),
     now: Time,
 ) -> (Box<dyn Core>, Vec<Effect>) {
     let me = member(id, life);
@@ -94,7 +95,7 @@
                 pull,
                 terms,
                 bytes_max: 64 << 20,
-                count_max: 100_000,
+                count_max: bounds.0 as u64,
                 backoff: Span::millis(200),
                 backoff_max: Span::secs(5),
                 seed,
@@ -111,7 +112,7 @@
                 agent: Daemon(format!("agent-{n}")),
                 pull: Span::millis(200),
                 terms,
-                seats: 256,
+                seats: bounds.1,
                 second: Span::millis(400),
                 limit: Span::millis(2000),
             };
--- a/crates/sim/src/prelude.rs
+++ b/crates/sim/src/prelude.rs
@@ -1,5 +1,5 @@
 //! The one import of every file of the simulator.
-pub use crate::callers::{Chain, Hand, Looking};
+pub use crate::callers::{Chain, Habit, Hand, Looking};
 pub use crate::house::{build, charter, names, zone_of, ENDPOINTS, SLOTS, WARM, WORKERS};
 pub use crate::net::Net;
 pub use crate::node::{Disk, Node};
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -18,6 +18,7 @@
 pub fn run(script: &Script, seed: u64, loud: bool, mutate: Option<fn(&mut Effect, &mut fastrand::Rng) -> bool>) -> Ran {
     let mut w = World::new(seed, script.steps.clone(), script.run, script.rate);
     w.loud = loud;
+    w.bounds = (script.messages, script.seats);
     for id in names() {
         w.start(&id, id.kind() == Kind::Placement);
     }
@@ -148,6 +149,9 @@
     if script.mates.is_some_and(|m| mates > m) {
         found.broken.push(format!("second copies moved {mates} times"));
     }
+    if found.not_taken < script.refused {
+        found.broken.push(format!("{} refused, {} expected", found.not_taken, script.refused));
+    }
     if found.accepted < script.accepted {
         found.broken.push(format!("{} accepted, {} expected", found.accepted, script.accepted));
     }
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -64,9 +64,15 @@
     pub run: Span,
     pub rate: u64,
     pub steps: Vec<Step>,
+    /// Messages a store holds at most.
+    pub messages: usize,
+    /// Carries a proxy has under way at most.
+    pub seats: u64,
     /// The longest time without any receipt.
     pub gap: Option<Span>,
     pub accepted: usize,
+    /// Refusals there must be, at least.
+    pub refused: usize,
     /// The longest any waitlist with work, its call-backs and taking in may
     /// stand still.
     pub back: Option<Span>,
@@ -163,8 +169,11 @@
         run: Span::secs(30),
         rate: 40,
         steps: Vec::new(),
+        messages: 100_000,
+        seats: 256,
         gap: None,
         accepted: 1,
+        refused: 0,
         back: None,
         waits: Vec::new(),
         contended: 0,
@@ -181,6 +190,9 @@
             ["seeds", x] => s.seeds = num(x).map_err(fail)?,
             ["seed", x] => s.more.push(num(x).map_err(fail)?),
             ["run", t] => s.run = span(t).map_err(fail)?,
+            ["messages", x] => s.messages = num(x).map_err(fail)?,
+            ["seats", x] => s.seats = num(x).map_err(fail)?,
+            ["expect", "refused", x] => s.refused = num(x).map_err(fail)?,
             ["rate", x] => s.rate = num(x).map_err(fail)?,
             ["expect", "gap", t] => s.gap = Some(span(t).map_err(fail)?),
             ["expect", "back", t] => s.back = Some(span(t).map_err(fail)?),
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -50,8 +50,13 @@
 
 pub enum Asked {
     Hand(usize),
+    /// The same message through a second proxy at once.
+    Twin(usize),
     Look(Looking),
-    Operator { base: String, what: String },
+    Operator {
+        base: String,
+        what: String,
+    },
 }
 
 /// Invariants: everything random comes from `rng`; the checker hears only
@@ -76,6 +81,7 @@
     pub rate: u64,
     pub poison: u64,
     pub mix: u64,
+    pub bounds: (usize, u64),
     /// What is broken now, since when.
     pub broken: BTreeMap<String, Time>,
     pub stopped: bool,
@@ -98,6 +104,14 @@
     pub popped: u64,
 }
 
+fn word_of(v: &Option<Verdict>) -> Word {
+    match v {
+        Some(v) if v.code == 202 => Word::Accepted,
+        Some(v) if v.json.contains("\"taken\":false") => Word::NotTaken,
+        _ => Word::Unknown,
+    }
+}
+
 pub const TENANTS: [&str; 2] = ["curators", "partners"];
 const TICK: Span = Span::millis(20);
 
@@ -130,6 +144,7 @@
             rate,
             poison: 0,
             mix: 50,
+            bounds: (100_000, 256),
             broken: BTreeMap::new(),
             stopped: false,
             run,
@@ -190,7 +205,7 @@
         n.disk.jobs.clear();
         n.disk.busy = false;
         let files = n.disk.durable.iter().map(|(k, v)| (k.clone(), v.clone())).collect();
-        let (core, first) = build(id, n.life, files, found, seed, n.clock(now));
+        let (core, first) = build(id, n.life, files, found, seed, self.bounds, n.clock(now));
         n.core = Some(core);
         let life = n.life;
         self.effects(id, first);
@@ -421,6 +436,10 @@
         }
         match asked {
             Asked::Hand(n) => self.handed(n, v),
+            Asked::Twin(n) => {
+                let name = self.hands.get(n).map(Hand::name).unwrap_or_default();
+                self.check.told(&name, word_of(&v), self.now);
+            }
             Asked::Look(l) => self.looked(l, v),
             Asked::Operator { base, what } => self.operated(base, what, v),
         }
@@ -441,10 +460,26 @@
             key: h.key.clone(),
             desk: h.desk.clone(),
             ttl: None,
-            again: h.again,
+            first: h.first && !h.again,
             body: h.body.clone(),
         };
         self.check.asked(&h.name(), self.now);
+        let first = !h.again;
+        if first && h.habit == Habit::Twice {
+            let other = self.proxy();
+            self.ask(&other, ask.clone(), Asked::Twin(n));
+        }
+        if first && h.habit == Habit::HangsUp {
+            // Gone before any verdict; it asks anew soon.
+            let at = self.next_ask;
+            if self.ask(&to, ask, Asked::Hand(n)) {
+                let soon = Span::millis(self.rng.u64(1..60));
+                self.soon(soon, Ev::AskTimeout(AskId(at)));
+            } else {
+                self.soon(Span::millis(300), Ev::Hand(n));
+            }
+            return;
+        }
         if !self.ask(&to, ask, Asked::Hand(n)) {
             // Refused at the door: nothing was taken, and nothing is told.
             self.soon(Span::millis(300), Ev::Hand(n));
@@ -453,12 +488,14 @@
 
     fn handed(&mut self, n: usize, v: Option<Verdict>) {
         let Some(h) = self.hands.get_mut(n) else { return };
-        let word = match &v {
-            Some(v) if v.code == 202 => Word::Accepted,
-            Some(v) if v.json.contains("\"taken\":false") => Word::NotTaken,
-            _ => Word::Unknown,
-        };
+        let word = word_of(&v);
         let name = h.name();
+        // One of its sendings was refused: it sends the id no more.
+        let refused = |m: &dw_checker::prelude::Message| m.words.iter().any(|w| w.1 == Word::NotTaken);
+        let word = match word {
+            Word::Unknown if self.check.message(&name).is_some_and(refused) => Word::NotTaken,
+            w => w,
+        };
         let chain = h.chain;
         let follow = h.follow;
         h.again = true;
@@ -532,7 +569,16 @@
         }
         let body = Bytes::from(text);
         let follow = chain.is_none() && self.rng.u64(..4) == 0 && !poison;
+        let habit = match self.rng.u64(..20) {
+            0 | 1 => Habit::Twice,
+            2 => Habit::HangsUp,
+            _ => Habit::Plain,
+        };
+        // One in three says so when it sends an id for the first time.
+        let first = habit != Habit::Twice && self.rng.u64(..3) == 0;
         let h = Hand {
+            habit,
+            first,
             list: list.clone(),
             id,
             key: key.clone(),
--- a/crates/sim/tests/scenarios.rs
+++ b/crates/sim/tests/scenarios.rs
@@ -247,6 +247,33 @@
     caught("run 10s\nat 2s share curators 20", b, "acts by charter");
 }
 
+#[test]
+fn an_edge_that_refuses_by_itself_is_caught() {
+    // What is not known is told as not taken.
+    let b: Breakage = |e, _| {
+        if let Effect::Tell(_, v) = e {
+            if v.code == 504 && v.json.contains("unknown") {
+                (v.code, v.json) = (503, "{\"taken\":false}".into());
+            }
+        }
+        false
+    };
+    caught("run 20s\nat 4s loss 100\nat 16s loss 0", b, "not taken");
+}
+
+#[test]
+fn a_keeper_that_forgets_what_it_refused_is_caught() {
+    // Copies that don't show their age are refused and not remembered.
+    let b: Breakage = |e, _| {
+        if let Effect::Say(_, Msg::Carry { stamp, again, .. }) = e {
+            (*stamp, *again) = (None, false);
+        }
+        false
+    };
+    let text = "run 30s\nrate 150\nmessages 700\nseats 8\nat 2s delay 900ms\nat 8s kill store-1\nat 11s start store-1\nat 12s kill store-2\nat 15s start store-2\nat 16s kill store-3\nat 20s start store-3\nat 24s delay 0ms";
+    caught(text, b, "not taken");
+}
+
 /// A backlog of two tenants over slow workers.
 const FLOOD: &str = "run 24s\nrate 500\nat 0.5s alloff\nat 1s allon\nat 6s slow sheets-1 250ms\nat 6s slow sheets-2 250ms\nat 6s slow sheets-3 250ms\nat 6s slow sheets-4 250ms\nat 6s slow sheets-5 250ms\nat 6s slow sheets-6 250ms\nat 24s slow sheets-1 0ms\nat 24s slow sheets-2 0ms\nat 24s slow sheets-3 0ms\nat 24s slow sheets-4 0ms\nat 24s slow sheets-5 0ms\nat 24s slow sheets-6 0ms\nexpect contended 4";
 
--- a/crates/waitlist/src/keep.rs
+++ b/crates/waitlist/src/keep.rs
@@ -87,6 +87,46 @@
     pub shed: Option<Time>,
     pub asked: Time,
     pub began: Time,
+    /// Since when it serves. Invariant: no copy handed in before is written,
+    /// so what an earlier keeper refused stays refused.
+    pub opened: Time,
+    pub refused: Refused,
+}
+
+/// Ids told as not taken, each until no copy handed in before can be
+/// written any more. Bounded: when full, nothing more is refused for certain.
+#[derive(Debug, Default)]
+pub struct Refused {
+    until: BTreeMap<MessageId, Time>,
+    line: VecDeque<(Time, MessageId)>,
+}
+
+const REFUSED_MAX: usize = 20_000;
+
+impl Refused {
+    /// Remembers an id; false when there is no room.
+    pub fn add(&mut self, id: &MessageId, now: Time) -> bool {
+        while self.line.front().is_some_and(|f| f.0 <= now) {
+            let Some((t, id)) = self.line.pop_front() else { break };
+            if self.until.get(&id) == Some(&t) {
+                self.until.remove(&id);
+            }
+        }
+        if self.line.len() >= REFUSED_MAX {
+            return false;
+        }
+        let until = now + COPY_LIFE.percent(110);
+        self.until.insert(id.clone(), until);
+        self.line.push_back((until, id.clone()));
+        true
+    }
+    pub fn has(&self, id: &MessageId, now: Time) -> bool {
+        self.until.get(id).is_some_and(|t| now < *t)
+    }
+    /// Whether a word may still be on its way to a caller.
+    pub fn fresh(&self, now: Time) -> bool {
+        self.line.back().is_some_and(|l| now < l.0)
+    }
 }
 
 /// Ops kept for a sibling that is a little behind.
@@ -119,6 +159,8 @@
             shed: None,
             asked: Time(0),
             began: now,
+            opened: now,
+            refused: Refused::default(),
         }
     }
     pub fn majority(&self) -> usize {
--- a/crates/waitlist/src/store.rs
+++ b/crates/waitlist/src/store.rs
@@ -2,6 +2,7 @@
 use crate::prelude::*;
 
 mod carry;
+use carry::Copy;
 mod copy;
 mod dispatch;
 mod opening;
@@ -37,6 +38,7 @@
 pub struct Counts {
     pub accepted: u64,
     pub refused: u64,
+    pub stale: u64,
     pub offers: u64,
     pub ended: u64,
     pub fenced: u64,
@@ -281,12 +283,13 @@
             }
             Msg::NotPrimary { hint } => self.link.not_primary(&from, hint, now),
             Msg::Beat(beat) => self.watch.hear(from, beat, now),
-            Msg::Carry { ask, proxy, via, again, place, version: _, head, body } => {
-                self.on_carry(from, ask, proxy, via, again, place, head, body, now)
+            Msg::Carry { ask, proxy, via, again, place, version: _, head, body, stamp, refuse } => {
+                let copy = Copy { ask, proxy, via, again, place, head, body, stamp, refuse };
+                self.on_carry(from, copy, now)
             }
             // A word that passes through here because its ends are cut apart.
-            Msg::Carried { ask, proxy, via, word } if proxy != self.startup.me.id => {
-                self.say(&proxy.clone(), Msg::Carried { ask, proxy, via, word })
+            Msg::Carried { ask, proxy, via, word, clock } if proxy != self.startup.me.id => {
+                self.say(&proxy.clone(), Msg::Carried { ask, proxy, via, word, clock })
             }
             Msg::Peeked { ask, proxy, via, found } if proxy != self.startup.me.id => {
                 self.say(&proxy.clone(), Msg::Peeked { ask, proxy, via, found })
--- a/crates/waitlist/src/store/carry.rs
+++ b/crates/waitlist/src/store/carry.rs
@@ -1,78 +1,142 @@
 //! Taking messages in, and answering for their state.
 use crate::prelude::*;
 
+/// A proxy tells its caller a word no later than this after it was said.
+const WORD_LIFE: Span = Span::millis(2100);
+
+/// A copy of a message, as a proxy sent it.
+pub(super) struct Copy {
+    pub ask: u64,
+    pub proxy: Daemon,
+    pub via: Option<Daemon>,
+    pub again: bool,
+    pub place: Place,
+    pub head: Head,
+    pub body: Bytes,
+    pub stamp: Option<Stamp>,
+    pub refuse: Option<Refusal>,
+}
+
+impl Copy {
+    fn to(&self) -> Daemon {
+        self.via.clone().unwrap_or(self.proxy.clone())
+    }
+}
+
 impl Store {
-    #[allow(clippy::too_many_arguments)]
-    pub(super) fn on_carry(
-        &mut self,
-        from: Daemon,
-        ask: u64,
-        proxy: Daemon,
-        via: Option<Daemon>,
-        again: bool,
-        place: Place,
-        head: Head,
-        body: Bytes,
-        now: Time,
-    ) {
+    pub(super) fn say_carried(&mut self, to: &Daemon, ask: u64, proxy: Daemon, via: Option<Daemon>, word: Carried, now: Time) {
+        let clock = Some((self.startup.me.id.clone(), Reading { life: self.startup.me.life, at: now }));
+        self.say(to, Msg::Carried { ask, proxy, via, word, clock });
+    }
+
+    fn answer(&mut self, c: Copy, word: Carried, now: Time) {
+        self.say_carried(&c.to(), c.ask, c.proxy, c.via, word, now);
+    }
+
+    /// Answers once op `n` stands on two stores.
+    fn answer_at(&mut self, c: Copy, n: u64, word: Carried, now: Time) {
+        let place = c.place.clone();
+        self.wait(&place, n, Wait::Carry { ask: c.ask, proxy: c.proxy, via: c.via, word }, now);
+    }
+
+    /// How old the copy's hand-in may be, if it was made in this life.
+    fn oldest(&self, stamp: &Stamp, now: Time) -> Option<Span> {
+        let r = stamp.reading.filter(|r| r.life == self.startup.me.life && r.at <= now)?;
+        Some(now.since(r.at) + stamp.age)
+    }
+
+    /// Whether a copy was surely handed in under this very keeping, and not
+    /// longer ago than refusals are remembered.
+    fn timely(&self, own: &Keep, stamp: &Stamp, now: Time) -> bool {
+        self.oldest(stamp, now).is_some_and(|old| old <= COPY_LIFE && own.opened + old <= now)
+    }
+
+    pub(super) fn on_carry(&mut self, from: Daemon, c: Copy, now: Time) {
         let me = self.startup.me.id.clone();
-        let to = via.clone().unwrap_or(proxy.clone());
-        let word = |word| Msg::Carried { ask, proxy: proxy.clone(), via: via.clone(), word };
-        let shed = self.parts.get(&place).and_then(|p| p.own.as_ref()).is_some_and(|o| o.shed.is_some());
-        if shed || !self.serving(&place, now) {
+        let own = self.parts.get(&c.place).and_then(|p| p.own.as_ref());
+        let shed = own.is_some_and(|o| o.shed.is_some());
+        if shed || !self.serving(&c.place, now) {
             // One hop: the proxy may be cut off from the keeper and we not.
-            let keeper = self.link.places.get(&place).map(|p| p.keeper.clone());
-            if let (Some(keeper), None, true) = (keeper.filter(|k| *k != me), &via, from.kind() == Kind::Proxy) {
+            let keeper = self.link.places.get(&c.place).map(|p| p.keeper.clone());
+            if let (Some(keeper), None, true) = (keeper.filter(|k| *k != me), &c.via, from.kind() == Kind::Proxy) {
+                let Copy { ask, proxy, again, place, head, body, stamp, refuse, .. } = c;
                 let version = self.link.rules.version;
-                return self.say(&keeper, Msg::Carry { ask, proxy, via: Some(me), again, place, version, head, body });
+                let msg = Msg::Carry { ask, proxy, via: Some(me), again, place, version, head, body, stamp, refuse };
+                return self.say(&keeper, msg);
             }
-            return self.say(&to, word(Carried::Elsewhere));
+            return self.answer(c, Carried::Elsewhere, now);
         }
-        if !head.sound(&body) {
-            return self.say(&to, word(Carried::Unknown));
+        if c.refuse.is_none() && !c.head.sound(&c.body) {
+            return self.answer(c, Carried::Unknown, now);
         }
-        let part = &self.parts[&place];
-        if let Some(r) = part.recs.get(&head.id) {
-            if r.stage == Stage::Ended(Outcome::Refused) {
-                let n = part.n;
+        let part = &self.parts[&c.place];
+        if let Some(r) = part.recs.get(&c.head.id) {
+            let (n, stage) = (part.n, r.stage);
+            if stage == Stage::Ended(Outcome::Refused) {
                 let word = self.refused_word();
-                return self.wait(&place, n, Wait::Carry { ask, proxy, via, word }, now);
+                return self.answer_at(c, n, word, now);
             }
-            if r.head.crc != head.crc || r.head.len != head.len || r.head.key != head.key {
-                return self.say(&to, word(Carried::Conflict));
+            if r.head.crc != c.head.crc || r.head.len != c.head.len || r.head.key != c.head.key {
+                return self.answer(c, Carried::Conflict, now);
             }
-            let n = part.n;
-            let stage = r.stage;
-            return self.wait(&place, n, Wait::Carry { ask, proxy, via, word: Carried::Accepted { stage } }, now);
-        }
-        if let Some((why, after, code)) = self.unfit(&place, &head, now) {
-            self.counts.refused += 1;
-            if !again {
-                return self.say(&to, word(Carried::NotTaken { why, after, code }));
+            return self.answer_at(c, n, Carried::Accepted { stage }, now);
+        }
+        let own = part.own.as_ref();
+        if let (Some(stamp), Some(own)) = (&c.stamp, own) {
+            if !self.timely(own, stamp, now) {
+                self.counts.stale += 1;
+                return self.answer(c, Carried::Stale, now);
             }
-            // An earlier sending may still be on its way: refuse it for good.
-            // Its bytes are not kept, so its checksum is that of none.
-            let head = Head { crc: crc32(b""), len: 0, ..head };
-            let n = self.write(&place, Op::Put(head, Stage::Ended(Outcome::Refused), Bytes::new()), now);
-            let word = Carried::NotTaken { why, after, code };
-            return self.wait(&place, n, Wait::Carry { ask, proxy, via, word }, now);
+        }
+        if own.is_some_and(|o| o.refused.has(&c.head.id, now)) {
+            let word = self.refused_word();
+            return self.refuse(c, word, now);
+        }
+        if let Some(r) = c.refuse.clone() {
+            return self.refuse(c, Carried::NotTaken { why: r.why, after: r.after, code: r.code }, now);
+        }
+        if let Some((why, after, code)) = self.unfit(&c.place, &c.head, now) {
+            return self.refuse(c, Carried::NotTaken { why, after, code }, now);
         }
         self.counts.accepted += 1;
-        let Some(part) = self.parts.get_mut(&place) else { return };
-        let mut head = head;
+        let Some(part) = self.parts.get_mut(&c.place) else { return };
+        let mut head = c.head.clone();
         head.seq = part.next;
         let id = head.id.clone();
-        let n = self.write(&place, Op::Put(head, Stage::Work, body), now);
+        let place = c.place.clone();
+        let n = self.write(&place, Op::Put(head, Stage::Work, c.body.clone()), now);
         if let Some(own) = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()) {
             own.shown.insert(id.clone(), None);
         }
         self.wait(&place, n, Wait::Enter { id }, now);
-        self.wait(&place, n, Wait::Carry { ask, proxy, via, word: Carried::Accepted { stage: Stage::Work } }, now);
+        self.answer_at(c, n, Carried::Accepted { stage: Stage::Work }, now);
+    }
+
+    /// Says that an id never runs, and sees to it: the id is remembered until
+    /// no copy handed in before can be written, and by then the word is told.
+    /// Where that can't be had the end is unknown.
+    fn refuse(&mut self, c: Copy, word: Carried, now: Time) {
+        self.counts.refused += 1;
+        if c.stamp.is_none() && c.again {
+            // A proxy of the first version: the refusal is written down. Its
+            // bytes are not kept, so its checksum is that of none.
+            let head = Head { crc: crc32(b""), len: 0, ..c.head.clone() };
+            let place = c.place.clone();
+            let n = self.write(&place, Op::Put(head, Stage::Ended(Outcome::Refused), Bytes::new()), now);
+            return self.answer_at(c, n, word, now);
+        }
+        // The next keeper opens only after this lease; the word must be with
+        // its caller by then.
+        let left = self.link.held.end(&Duty::Keep(c.place.clone())).map_or(Span::ZERO, |t| t.left(now));
+        let own = self.parts.get_mut(&c.place).and_then(|p| p.own.as_mut());
+        let sure = c.stamp.is_none() || (left >= WORD_LIFE && own.is_some_and(|o| o.refused.add(&c.head.id, now)));
+        let word = if sure { word } else { Carried::Unknown };
+        self.answer(c, word, now);
     }
 
     fn refused_word(&self) -> Carried {
-        let why = "this id was refused before and never runs; send it under a new id".into();
-        Carried::NotTaken { why, after: Span::secs(1), code: 409 }
+        let why = "this id was refused a moment ago; come back later with it, or send the message under a new id now".into();
+        Carried::NotTaken { why, after: COPY_LIFE.percent(120), code: 409 }
     }
 
     /// Why a message can't be taken now, if so, and when to come back.
@@ -143,7 +207,7 @@
         match wait {
             Wait::Carry { ask, proxy, via, word } => {
                 let to = via.clone().unwrap_or(proxy.clone());
-                self.say(&to, Msg::Carried { ask, proxy, via, word });
+                self.say_carried(&to, ask, proxy, via, word, now);
             }
             Wait::Settle { to, attempt, epoch } => self.say(&to, Msg::Noted { all: vec![(place.clone(), epoch, attempt)] }),
             Wait::Enter { id } => {
--- a/crates/waitlist/src/store/status.rs
+++ b/crates/waitlist/src/store/status.rs
@@ -70,7 +70,7 @@
             "files": self.ledger.files(),
             "places": places,
             "leaving": self.leaving.is_some(),
-            "counts": {"accepted": c.accepted, "refused": c.refused, "offers": c.offers, "ended": c.ended,
+            "counts": {"accepted": c.accepted, "refused": c.refused, "stale_copies": c.stale, "offers": c.offers, "ended": c.ended,
                        "fenced": c.fenced, "saves": c.saves, "bodies_sent": c.bodies_sent},
         });
         Verdict::json(200, v.to_string())
--- a/crates/wire/src/step.rs
+++ b/crates/wire/src/step.rs
@@ -19,7 +19,8 @@
         key: String,
         desk: String,
         ttl: Option<Span>,
-        again: bool,
+        /// The caller's word that this id was never sent before.
+        first: bool,
         body: Bytes,
     },
     Look {
