Bodies rest on disk; two minutes of reading back found five faults

Cause: nothing read messages back for two minutes, and all bodies were held in memory twice over a start.

Ruled out: lost drops at keepers and mates (their folders shrink); the reader.

Change: a body is read back from the line that put it; checked cache; bad copies mended from siblings; folders kept within twice what lives in them; a lone mate is asked again; bounds.disk and bounds.cache.

--- a/crates/delivery/src/run.rs
+++ b/crates/delivery/src/run.rs
@@ -779,7 +779,7 @@
                 self.link.hurry(now);
                 self.send_rooms(now);
             }
-            Event::Saved(_) => {}
+            Event::Saved(_) | Event::Loaded(..) => {}
         }
         self.end()
     }
--- a/crates/ingest/src/proxy.rs
+++ b/crates/ingest/src/proxy.rs
@@ -449,7 +449,7 @@
             Event::Leave => {
                 self.leaving.get_or_insert(now);
             }
-            Event::Saved(_) | Event::Back(..) => {}
+            Event::Saved(_) | Event::Loaded(..) | Event::Back(..) => {}
         }
         std::mem::take(&mut self.out)
     }
--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -106,8 +106,12 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
-    /// Bytes of bodies a store holds.
+    /// Bytes of bodies a store holds, on disk.
     pub bytes: u64,
+    /// Bytes of files of a store.
+    pub disk: u64,
+    /// Bytes of bodies a store keeps in memory besides.
+    pub cache: u64,
     /// Messages a store holds.
     pub messages: u64,
     /// Carries a proxy has under way.
@@ -122,7 +126,16 @@
 
 impl Default for Bounds {
     fn default() -> Bounds {
-        Bounds { bytes: 80 << 20, messages: 150_000, seats: 256, hands: 2048, ring: 8192, frames: 2048 }
+        Bounds {
+            bytes: 256 << 20,
+            disk: 640 << 20,
+            cache: 24 << 20,
+            messages: 150_000,
+            seats: 256,
+            hands: 2048,
+            ring: 8192,
+            frames: 2048,
+        }
     }
 }
 
--- a/crates/sim/src/script.rs
+++ b/crates/sim/src/script.rs
@@ -64,13 +64,16 @@
     pub run: Span,
     pub rate: u64,
     pub steps: Vec<Step>,
-    /// Messages a store holds at most.
-    pub messages: usize,
-    /// Carries a proxy has under way at most.
-    pub seats: u64,
+    pub bounds: Bounds,
     /// The longest time without any receipt.
     pub gap: Option<Span>,
     pub accepted: usize,
+    /// Bytes of a message's body.
+    pub body: usize,
+    /// Ended messages are read back, state and bytes, until 120 s after.
+    pub reread: bool,
+    /// Bytes of a store's files at the end, at most.
+    pub disk: Option<u64>,
     /// Refusals there must be, at least.
     pub refused: usize,
     /// The longest any waitlist with work, its call-backs and taking in may
@@ -169,10 +172,12 @@
         run: Span::secs(30),
         rate: 40,
         steps: Vec::new(),
-        messages: 100_000,
-        seats: 256,
+        bounds: Bounds::default(),
         gap: None,
         accepted: 1,
+        body: 120,
+        reread: false,
+        disk: None,
         refused: 0,
         back: None,
         waits: Vec::new(),
@@ -190,8 +195,13 @@
             ["seeds", x] => s.seeds = num(x).map_err(fail)?,
             ["seed", x] => s.more.push(num(x).map_err(fail)?),
             ["run", t] => s.run = span(t).map_err(fail)?,
-            ["messages", x] => s.messages = num(x).map_err(fail)?,
-            ["seats", x] => s.seats = num(x).map_err(fail)?,
+            ["messages", x] => s.bounds.messages = num(x).map_err(fail)?,
+            ["seats", x] => s.bounds.seats = num(x).map_err(fail)?,
+            ["disk", x] => s.bounds.disk = num(x).map_err(fail)?,
+            ["cache", x] => s.bounds.cache = num(x).map_err(fail)?,
+            ["body", x] => s.body = num(x).map_err(fail)?,
+            ["reread"] => s.reread = true,
+            ["expect", "disk", x] => s.disk = Some(num(x).map_err(fail)?),
             ["expect", "refused", x] => s.refused = num(x).map_err(fail)?,
             ["rate", x] => s.rate = num(x).map_err(fail)?,
             ["expect", "gap", t] => s.gap = Some(span(t).map_err(fail)?),
--- a/crates/waitlist/src/store/dispatch.rs
+++ b/crates/waitlist/src/store/dispatch.rs
@@ -1,4 +1,5 @@
 //! Handing attempts out and taking their ends in.
+use super::Parked;
 use crate::prelude::*;
 use crate::store::opening::GRACE;
 use crate::store::RoomAt;
@@ -178,7 +179,7 @@
 
     fn take(&mut self, place: &Place, desk: Option<&str>, duty: &Duty, to: &Daemon, owed: &mut Owed, now: Time) -> Option<Offer> {
         let attempt = self.link.rules.rule_of(place)?.attempt;
-        let mut held = 0;
+        let (mut held, mut later) = (0, 0);
         let desks = self.link.rules.rule_of(place)?.desks.clone();
         let bounds: Vec<(String, u64)> = desks.into_iter().map(|d| (d.clone(), self.owes_at_most(&d, &place.tenant))).collect();
         let most = |desk: &str| bounds.iter().find(|b| b.0 == desk).map_or(u64::MAX, |b| b.1);
@@ -187,12 +188,6 @@
             let own = p.own.as_mut()?;
             let seq = own.lane.pop(desk, now)?;
             let Some(r) = own.lane.ids.get(&seq).and_then(|id| p.recs.get(id)) else { continue };
-            if !r.head.sound(&r.body) {
-                let id = r.head.id.clone();
-                // A bad copy is never handed out; the mate's is as good as ours was.
-                self.note(Note::BadBody, format!("{place} {id}"));
-                continue;
-            }
             if own.won.remove(&seq) {
                 let (id, next) = (r.head.id.clone(), won(r));
                 self.stage(place, &id, next, None, now);
@@ -215,6 +210,35 @@
                 }
                 continue;
             }
+            let id = r.head.id.clone();
+            let wait = |own: &mut Keep, at: Time| match desk {
+                Some(d) => own.lane.calls.entry(d.to_string()).or_default().insert((at, seq)),
+                None => own.lane.line.insert((at, seq)),
+            };
+            // A call-back carries none of the bytes, and its head says so.
+            let mut head = r.head.clone();
+            let body = match &r.body {
+                _ if r.stage == Stage::Calling => {
+                    (head.len, head.crc) = (0, crc32(b""));
+                    Bytes::new()
+                }
+                Some(b) if r.head.sound(b) => b.clone(),
+                None if !self.cache.is_bad(place, &id) => {
+                    let at = now + READ;
+                    wait(own, at);
+                    later += 1;
+                    let who = Parked::Due { desk: desk.map(String::from), at, seq };
+                    if !self.park(place, &id, who) || later >= LATER_MAX {
+                        return None;
+                    }
+                    continue;
+                }
+                _ => {
+                    wait(own, now + BAD);
+                    self.found_bad(place, &id, now);
+                    continue;
+                }
+            };
             if !key.0.is_empty() && r.stage == Stage::Work {
                 *owed.entry(key).or_default() += 1;
             }
@@ -229,11 +253,11 @@
             let offer = Offer {
                 duty: duty.clone(),
                 place: place.clone(),
-                head: r.head.clone(),
+                head,
                 stage: r.stage,
                 epoch: own.epoch,
                 attempt: own.attempts,
-                body: r.body.clone(),
+                body,
             };
             own.lane.flights.insert(seq, flight);
             return Some(offer);
@@ -395,10 +419,28 @@
                 self.write(&place, Op::Drop(id), now);
             }
         }
+        self.forget(now);
         self.watch_duties(now);
         self.clean();
     }
 
+    /// A copy that no keeper tends hears of no drops. What ended here lets go
+    /// of its room all the same, later than any keeper would drop it.
+    fn forget(&mut self, now: Time) {
+        let retain = self.link.rules.retain;
+        if retain == Span::ZERO {
+            return;
+        }
+        for (place, p) in self.parts.iter_mut().filter(|(_, p)| p.own.is_none() && p.fetch.is_none()) {
+            let past = |r: &Rec| matches!(r.stage, Stage::Ended(_)) && now.since(r.ended) > retain + FORGET;
+            let old: Vec<MessageId> = p.recs.iter().filter(|(_, r)| past(r)).map(|(id, _)| id.clone()).take(1000).collect();
+            for id in old {
+                self.held_bytes += p.drop(place, &id, &mut self.ledger);
+                self.ledger.push(Line::Op { place: place.clone(), n: p.n, op: Op::Drop(id) });
+            }
+        }
+    }
+
     /// Notes duties that have something due and a holder that we do not hear.
     fn watch_duties(&mut self, now: Time) {
         if !self.link.fresh(now) {
@@ -439,26 +481,50 @@
         self.stage(place, id, next, None, now);
     }
 
-    /// Writes the few living records of the oldest file again, so it can go.
+    /// Writes living records of the oldest file again, a part at a time, so
+    /// that it can go; what is not in memory is read back for the next time.
     fn clean(&mut self) {
-        let Some((first, last)) = self.ledger.sparse() else { return };
+        // A record's lines take some room beside its bytes.
+        let count: usize = self.parts.values().map(|p| p.recs.len()).sum();
+        let live = self.held_bytes.max(0) as u64 + count as u64 * 400;
+        let Some((first, last)) = self.ledger.sparse(live) else { return };
         let home = self.ledger.next();
         let mut lines = Vec::new();
+        let mut absent = Vec::new();
+        let mut size = 0;
         for (place, p) in self.parts.iter_mut() {
             for r in p.recs.values_mut().filter(|r| first <= r.home && r.home <= last) {
+                size += u64::from(r.head.len) + 256;
+                if size > CLEAN {
+                    break;
+                }
+                let Some(body) = r.body.clone() else {
+                    absent.push((place.clone(), r.head.id.clone()));
+                    continue;
+                };
                 self.ledger.unsettle(r.home);
                 self.ledger.settle(home);
                 r.home = home;
-                let body = r.body.clone();
+                self.cache.put(place, &r.head.id, r.head.len);
                 lines.push(Line::Body { place: place.clone(), head: r.head.clone(), stage: r.stage, body });
             }
         }
         for line in lines {
             self.ledger.push(line);
         }
+        for (place, id) in absent {
+            if !self.park(&place, &id, Parked::Clean) {
+                break;
+            }
+        }
     }
 }
 
+/// Beyond the reading time, for a copy that nobody tends.
+const FORGET: Span = Span::secs(30);
+/// How much of the oldest file is written again in one second.
+const CLEAN: u64 = 2 << 20;
+
 /// The stage after a success.
 fn won(r: &Rec) -> Stage {
     match (r.stage, r.head.desk.is_empty()) {
@@ -472,5 +538,10 @@
 /// Work that would owe more is looked at again after this; so many at once.
 const HELD: Span = Span::millis(100);
 const HELD_MAX: u32 = 64;
+/// A body that is read back is looked for again after this, if not before;
+/// so many at once. A bad one after the other time.
+const READ: Span = Span::millis(1000);
+const LATER_MAX: u32 = 16;
+const BAD: Span = Span::millis(500);
 /// How long a call-back is tried.
 const CALLING_MAX: Span = Span::secs(600);
