A worker that fails and returns is not taken for a fresh one

Set aside after five failures, a worker began its warm-up anew on return, so the service ran at a tenth of its capacity.

Ruled out: retries crowding first sends out.

Change: only a worker whose connection broke warms up again.

--- a/crates/delivery/src/run.rs
+++ b/crates/delivery/src/run.rs
@@ -672,7 +672,10 @@
                         self.out.push(Effect::Note(Note::WorkerEjected, id.to_string()));
                     }
                 } else if !load_only && f.sick.pass() {
-                    f.ramp.since = now;
+                    // One that answered all the while, if badly, is no fresh one.
+                    if std::mem::take(&mut f.lost) {
+                        f.ramp.since = now;
+                    }
                     self.out.push(Effect::Note(Note::WorkerBack, id.to_string()));
                 }
             }
@@ -682,6 +685,7 @@
                 }
             }
             Reply::Lost(Sent::Maybe) => {
+                f.lost = true;
                 if f.sick.fail(now) {
                     self.out.push(Effect::Note(Note::WorkerEjected, id.to_string()));
                 }
