--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -109,8 +109,10 @@
     /// Bytes of bodies a store holds, on disk.
     pub bytes: u64,
     /// Bytes of files of a store.
+    #[serde(skip_serializing_if = "usual_disk")]
     pub disk: u64,
     /// Bytes of bodies a store keeps in memory besides.
+    #[serde(skip_serializing_if = "usual_cache")]
     pub cache: u64,
     /// Messages a store holds.
     pub messages: u64,
@@ -124,6 +126,15 @@
     pub frames: usize,
 }
 
+/// What stands at its default is not written out, so that the neighbouring
+/// version reads the file too.
+fn usual_disk(n: &u64) -> bool {
+    *n == Bounds::default().disk
+}
+fn usual_cache(n: &u64) -> bool {
+    *n == Bounds::default().cache
+}
+
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
