Routed messages: taken in by host and prefix, kept in a spool, sent by reach

Chosen: one spool of partitions whatever the routes; a delivery alone may send to the workers and addresses of its duties of reach, and takes from every store what those can run. Ways weighed: a waitlist for each service (a place for each destination; 5 M destinations would need as many leases); slices as for waitlists (rates and connections counted in several places).

--- /dev/null
+++ b/crates/delivery/src/run/posts.rs
@@ -0,0 +1,432 @@
+//! Routed messages: carried to the workers and addresses that this daemon
+//! alone may send to, under its duties of reach.
+use super::{Aim, Called};
+use crate::prelude::*;
+
+/// What waits for each goal, and the addresses sent to.
+#[derive(Default)]
+pub struct Posts {
+    /// Invariant: every hand named here is `Waiting`, or gone.
+    lines: BTreeMap<Goal, VecDeque<HandId>>,
+    sites: BTreeMap<String, Site>,
+    /// The duties of reach held, with their epochs.
+    held: BTreeMap<Duty, Epoch>,
+    /// Zones that were emptied, to see which are taken back.
+    empty: BTreeSet<Zone>,
+}
+
+/// An address on no list. Invariant: `open` counts the calls under way there.
+struct Site {
+    pace: Option<Allowance>,
+    breaker: Breaker,
+    open: u32,
+    /// Requests it runs at once, by its own word.
+    slots: u32,
+    full_until: Time,
+}
+
+impl Default for Site {
+    fn default() -> Site {
+        Site { pace: None, breaker: Breaker::new(3, Span::secs(1)), open: 0, slots: 0, full_until: Time(0) }
+    }
+}
+
+/// Calls open at once to an address that said nothing of its slots.
+const SITE_SLOTS: u32 = 8;
+const SITE_MOST: u32 = 64;
+/// The hard end of one call-back; the keeper has the same.
+const CALL: Span = Span::millis(2500);
+/// A worker's own last word may come a little after the attempt's end.
+const LATE: Span = Span::millis(80);
+/// A hand is begun no later than this before its hard end.
+const SLACK: Span = Span::millis(150);
+/// How long a hand may wait here; the keeper has the same.
+const POST_GRACE: Span = Span::secs(2);
+/// A worker that says it is full is left alone for so long.
+const FULL: Span = Span::millis(60);
+/// What a cold worker of unknown rate gets in a second.
+const COLD_RATE: f64 = 2.0;
+
+impl Delivery {
+    /// The time a hand needs to be begun at all.
+    pub(super) fn least(&self, h: &Hand) -> Span {
+        match h.offer.goal {
+            None => Span::millis(300),
+            Some(_) => self.span_of(&h.offer) + SLACK,
+        }
+    }
+
+    /// How long one attempt of a routed message may last; zero when its route
+    /// is not in force.
+    fn span_of(&self, o: &Offer) -> Span {
+        match o.stage {
+            Stage::Work => self.link.rules.routes.get(&o.head.route).map_or(Span::ZERO, |r| r.attempt),
+            _ => CALL,
+        }
+    }
+
+    /// Whether something is open under a duty of reach.
+    pub(super) fn reaching(&self, duty: &Duty) -> bool {
+        let under = |at: &Aim| match at {
+            Aim::Worker(w) => self.workers.get(w).is_none_or(|w| Duty::of_worker(&w.info.zone, &w.info.id) == *duty),
+            Aim::Address(a) => Duty::of_address(a) == *duty,
+        };
+        self.calls.values().any(|c| matches!(c, Called::Post { at, .. } if under(at)))
+    }
+
+    /// Duties of reach that are new here or gone; true when any is.
+    pub(super) fn learn_reach(&mut self, grants: &[Grant], now: Time) -> bool {
+        let held: BTreeMap<Duty, Epoch> =
+            grants.iter().filter(|g| matches!(g.duty, Duty::Reach(_))).map(|g| (g.duty.clone(), g.epoch)).collect();
+        if held == self.posts.held {
+            return false;
+        }
+        // A newcomer may follow a sender it knows nothing of.
+        let old = std::mem::replace(&mut self.posts.held, held);
+        let fresh: BTreeSet<&Duty> = self.posts.held.iter().filter(|(d, e)| old.get(d) != Some(e)).map(|x| x.0).collect();
+        for (addr, site) in self.posts.sites.iter_mut() {
+            if fresh.contains(&Duty::of_address(addr)) {
+                site.pace = None;
+            }
+        }
+        for w in self.workers.values_mut() {
+            if fresh.contains(&Duty::of_worker(&w.info.zone, &w.info.id)) {
+                w.cold_next = now + Span::millis(400);
+            }
+        }
+        true
+    }
+
+    /// A zone that is taken back may have turned cold meanwhile.
+    pub(super) fn learn_orders(&mut self, now: Time) {
+        let back: Vec<Zone> = self.posts.empty.difference(&self.link.empty).cloned().collect();
+        self.posts.empty.clone_from(&self.link.empty);
+        for w in self.workers.values_mut().filter(|w| back.contains(&w.info.zone)) {
+            let cold = self.link.rules.services.get(&w.info.service).map_or(Span::secs(3), |s| Span::millis(s.warm_ms));
+            w.cold_until = w.cold_until.max(now + cold);
+        }
+        self.send_rooms(now);
+    }
+
+    fn may_reach(&self, w: &Fitness, now: Time) -> bool {
+        self.link.may(&Duty::of_worker(&w.info.zone, &w.info.id), now).is_some()
+    }
+
+    fn slots_of(&self, w: &Fitness) -> u32 {
+        match w.info.slots {
+            0 => self.full(&w.info.service),
+            n => n,
+        }
+    }
+
+    fn fit(&self, w: &Fitness, now: Time) -> bool {
+        // One that could not be reached is asked whether it is well, where
+        // it can be asked, before a message goes there.
+        let asked = || self.link.rules.services.get(&w.info.service).is_some_and(|s| !s.health.is_empty());
+        w.usable(&self.link, now) && !w.gone && !w.sick.open(now) && !(w.down.wary() && asked())
+    }
+
+    /// How much of each service this daemon takes from each of `keepers`
+    /// stores; none while the charter has no routes.
+    pub(super) fn reach(&self, keepers: usize, now: Time) -> Option<Reach> {
+        if self.link.rules.routes.is_empty() {
+            return None;
+        }
+        let shut = self.leaving.is_some() || self.hands.len() >= self.startup.hands_max;
+        let each = |n: u32| n.div_ceil(keepers.max(1) as u32);
+        let mut services: BTreeMap<String, u32> = BTreeMap::new();
+        for w in self.workers.values().filter(|w| !shut && self.fit(w, now) && self.may_reach(w, now)) {
+            *services.entry(w.info.service.clone()).or_default() += self.slots_of(w);
+        }
+        for n in services.values_mut() {
+            // More than a part each, as work does not come evenly.
+            *n = each(*n * 2).max(1);
+        }
+        let mut addresses: Vec<Duty> = self.link.held.live(now).into_iter().map(|x| x.0).collect();
+        addresses.retain(|d| !shut && matches!(d, Duty::Reach(_)));
+        for s in self.link.rules.services.values().filter(|s| !s.address.is_empty()) {
+            if shut || self.link.may(&Duty::of_address(&s.address), now).is_none() {
+                continue;
+            }
+            let room = match self.posts.sites.get(&s.address) {
+                Some(x) if x.breaker.open(now) => 0,
+                Some(x) if x.breaker.wary() => 1,
+                _ => each(self.site_most(s) * 2).max(2),
+            };
+            services.insert(s.name.clone(), room);
+        }
+        Some(Reach { life: self.startup.me.life, services: services.into_iter().collect(), addresses })
+    }
+
+    /// Calls open at once to a service's one address.
+    fn site_most(&self, s: &Service) -> u32 {
+        let told = self.posts.sites.get(&s.address).map_or(0, |x| x.slots);
+        let most = if told > 0 { told } else { SITE_SLOTS };
+        let room = if s.connections > 0 { (s.connections * 3 / 4).max(1) } else { SITE_MOST };
+        most.min(room)
+    }
+
+    /// Takes an offer of a routed message.
+    pub(super) fn on_post(&mut self, id: HandId, goal: Goal, offer: Offer, asked: Time) {
+        if self.hands.contains_key(&id) || !offer.head.sound(&offer.body) {
+            return;
+        }
+        let span = self.span_of(&offer);
+        if span == Span::ZERO {
+            // Its route is not in force here; the keeper will see to it.
+            self.counts.stale += 1;
+            return;
+        }
+        let hard = asked + span + POST_GRACE;
+        self.posts.lines.entry(goal).or_default().push_back(id.clone());
+        self.hands.insert(id, Hand { offer, state: State::Waiting, hard });
+    }
+
+    /// The daemon leaves: what waits here goes back at once.
+    pub(super) fn return_posts(&mut self, now: Time) {
+        for id in std::mem::take(&mut self.posts.lines).into_values().flatten() {
+            if self.hands.get(&id).is_some_and(|h| h.state == State::Waiting) {
+                self.finish(&id, Told::Unstarted, now);
+            }
+        }
+    }
+
+    /// Begins what can be begun now.
+    pub(super) fn start_posts(&mut self, now: Time) {
+        let goals: Vec<Goal> = self.posts.lines.keys().cloned().collect();
+        for goal in goals {
+            while let Some(id) = self.posts.lines.get(&goal).and_then(|l| l.front().cloned()) {
+                let waits = self.hands.get(&id).is_some_and(|h| h.state == State::Waiting);
+                let aim = match (&goal, waits) {
+                    (_, false) => None,
+                    (Goal::Address(a), _) => match self.may_address(a, None, now) {
+                        true => Some((a.clone(), Aim::Address(a.clone()))),
+                        false => break,
+                    },
+                    (Goal::Service(s), _) => match self.match_post(s, now) {
+                        Some(x) => Some(x),
+                        None => break,
+                    },
+                };
+                if let Some(l) = self.posts.lines.get_mut(&goal) {
+                    l.pop_front();
+                }
+                if let Some((addr, at)) = aim {
+                    self.start_post(id, addr, at, now);
+                }
+            }
+        }
+        self.posts.lines.retain(|_, l| !l.is_empty());
+    }
+
+    /// Whether an address may be sent to now.
+    fn may_address(&mut self, addr: &str, service: Option<&Service>, now: Time) -> bool {
+        if self.link.may(&Duty::of_address(addr), now).is_none() {
+            return false;
+        }
+        let most = service.map_or(SITE_SLOTS, |s| self.site_most(s));
+        let rate = service.map_or(0.0, |s| s.rate);
+        let site = self.posts.sites.entry(addr.to_string()).or_default();
+        if rate > 0.0 {
+            let pace = site.pace.get_or_insert_with(|| Allowance::per(rate, now));
+            pace.set(rate);
+            if pace.room(now) == 0 {
+                return false;
+            }
+        }
+        let most = if site.breaker.wary() { 1 } else { most };
+        !site.breaker.open(now) && site.open < most && now >= site.full_until
+    }
+
+    /// Where a message of a service goes now: the least busy of the workers
+    /// this daemon alone sends to, or the service's one address.
+    fn match_post(&mut self, service: &str, now: Time) -> Option<(String, Aim)> {
+        let s = self.link.rules.services.get(service)?.clone();
+        if !s.address.is_empty() {
+            let may = self.may_address(&s.address, Some(&s), now);
+            return may.then(|| (s.address.clone(), Aim::Address(s.address.clone())));
+        }
+        let mine = self.workers.values().filter(|w| w.info.service == service && self.may_reach(w, now));
+        let free = |w: &&Fitness| {
+            let cold = now < w.cold_until && now < w.cold_next;
+            !cold && self.fit(w, now) && w.busy < self.slots_of(w) && now >= w.full_until && !(w.sick.wary() && w.busy > 0)
+        };
+        let turn = self.next_call;
+        let best = mine.filter(free).min_by_key(|w| {
+            let part = u64::from(w.busy) * 1000 / u64::from(self.slots_of(w).max(1));
+            (now < w.cold_until, part, w.turn.wrapping_mul(turn | 1) >> 32)
+        })?;
+        Some((best.info.addr.clone(), Aim::Worker(best.info.id.clone())))
+    }
+
+    fn start_post(&mut self, id: HandId, addr: String, at: Aim, now: Time) {
+        let Some(h) = self.hands.get(&id) else { return };
+        let span = self.span_of(&h.offer);
+        let (stage, seal, body) = (h.offer.stage, h.offer.head.seal.clone(), h.offer.body.clone());
+        let parcel = h.offer.head.parcel.clone();
+        let late = span == Span::ZERO || h.hard.left(now) < span + SLACK;
+        let (false, Some(parcel)) = (late, parcel) else { return self.finish(&id, Told::Unstarted, now) };
+        let worker = match &at {
+            Aim::Worker(w) => Some(w.clone()),
+            Aim::Address(_) => None,
+        };
+        let errand = match stage {
+            Stage::Owing(Outcome::Succeeded) => Errand::Tell { parcel, standing: Standing::Done(seal) },
+            Stage::Owing(_) => Errand::Tell { parcel, standing: Standing::Dead },
+            _ => Errand::Run { parcel, worker, span },
+        };
+        match &at {
+            Aim::Worker(w) => {
+                if let Some(f) = self.workers.get_mut(w) {
+                    let cold = self.link.rules.services.get(&f.info.service).map_or(0.0, |s| s.cold_rate);
+                    f.busy += 1;
+                    f.cold_next = now + Span((1e6 / cold.max(COLD_RATE)) as u64);
+                }
+            }
+            Aim::Address(a) => {
+                if let Some(s) = self.posts.sites.get_mut(a) {
+                    s.open += 1;
+                    if let Some(p) = s.pace.as_mut() {
+                        p.take(now);
+                    }
+                }
+            }
+        }
+        let call = Call { post: true, addr, path: String::new(), headers: Vec::new(), body, limit: span + LATE, errand };
+        let call = self.call(Called::Post { hand: id.clone(), at }, call);
+        if let Some(h) = self.hands.get_mut(&id) {
+            h.state = State::Running(call);
+        }
+    }
+
+    pub(super) fn post_back(&mut self, id: HandId, at: Aim, reply: Reply, now: Time) {
+        let end = match &reply {
+            Reply::Ran { end, .. } => end.clone(),
+            Reply::Lost(Sent::No) => RunEnd::NotRun { gone: false },
+            _ => RunEnd::Doubt,
+        };
+        match &at {
+            Aim::Worker(w) => self.hear_post_worker(w, &reply, &end, now),
+            Aim::Address(a) => self.hear_site(a, &reply, &end, now),
+        }
+        match end {
+            RunEnd::Done(seal) => self.finish_sealed(&id, Told::Success, seal, now),
+            RunEnd::Failed => self.finish(&id, Told::Failed, now),
+            RunEnd::Never => self.finish(&id, Told::Never, now),
+            RunEnd::Doubt => self.finish(&id, Told::Doubt, now),
+            RunEnd::NotRun { .. } => self.again(id, now),
+        }
+    }
+
+    /// It did not run: another worker may take it at once.
+    fn again(&mut self, id: HandId, now: Time) {
+        let Some(h) = self.hands.get(&id) else { return };
+        let service = matches!(h.offer.goal, Some(Goal::Service(_)));
+        if !service || h.hard.left(now) < self.least(h) || self.leaving.is_some() {
+            return self.finish(&id, Told::Unstarted, now);
+        }
+        let Some(h) = self.hands.get_mut(&id) else { return };
+        h.state = State::Waiting;
+        let Some(goal) = h.offer.goal.clone() else { return };
+        self.posts.lines.entry(goal).or_default().push_front(id);
+    }
+
+    fn hear_post_worker(&mut self, id: &WorkerId, reply: &Reply, end: &RunEnd, now: Time) {
+        let Some(f) = self.workers.get_mut(id) else { return };
+        f.busy = f.busy.saturating_sub(1);
+        f.seen = now;
+        if let Reply::Ran { load: Some(l), .. } = reply {
+            f.load = l.running + l.waiting;
+        }
+        let mut note = None;
+        match (reply, end) {
+            (Reply::Lost(Sent::No), _) => {
+                if f.down.fail(now) {
+                    note = Some((Note::WorkerEjected, format!("{id} can't be reached")));
+                }
+            }
+            (_, RunEnd::Doubt) => {
+                if f.sick.fail(now) {
+                    note = Some((Note::WorkerEjected, id.to_string()));
+                }
+            }
+            (_, RunEnd::NotRun { gone: true }) => {
+                f.gone = true;
+                note = Some((Note::WorkerEjected, format!("{id} is not there any more")));
+            }
+            (_, RunEnd::NotRun { gone: false }) => f.full_until = now + FULL,
+            _ => {
+                if f.down.pass() | f.sick.pass() {
+                    note = Some((Note::WorkerBack, id.to_string()));
+                }
+            }
+        }
+        if let Some((note, text)) = note {
+            self.out.push(Effect::Note(note, text));
+            self.send_rooms(now);
+        }
+    }
+
+    fn hear_site(&mut self, addr: &str, reply: &Reply, end: &RunEnd, now: Time) {
+        let Some(s) = self.posts.sites.get_mut(addr) else { return };
+        s.open = s.open.saturating_sub(1);
+        if let Reply::Ran { load: Some(l), .. } = reply {
+            s.slots = l.slots;
+        }
+        let lost = *end == RunEnd::Doubt || matches!(reply, Reply::Lost(_));
+        let note = match end {
+            _ if lost => s.breaker.fail(now).then_some(Note::BreakerOpen),
+            RunEnd::NotRun { .. } => {
+                s.full_until = now + FULL;
+                None
+            }
+            _ => s.breaker.pass().then_some(Note::BreakerShut),
+        };
+        if let Some(note) = note {
+            self.out.push(Effect::Note(note, addr.to_string()));
+            self.send_rooms(now);
+        }
+    }
+
+    /// Asks workers that could not be reached whether they are well, so that
+    /// no message has to find out.
+    pub(super) fn probe(&mut self, now: Time) {
+        if self.link.rules.routes.is_empty() || self.leaving.is_some() {
+            return;
+        }
+        let due: Vec<(WorkerId, String, String)> = self
+            .workers
+            .values()
+            .filter(|w| w.down.wary() && !w.down.open(now) && !w.gone && w.busy == 0)
+            .filter(|w| now.since(w.probed) >= Span::millis(500) && self.may_reach(w, now))
+            .filter_map(|w| {
+                let s = self.link.rules.services.get(&w.info.service)?;
+                Some((w.info.id.clone(), w.info.addr.clone(), s.health.clone()))
+            })
+            .filter(|x| !x.2.is_empty())
+            .collect();
+        for (worker, addr, path) in due {
+            if let Some(w) = self.workers.get_mut(&worker) {
+                w.probed = now;
+            }
+            let limit = Span::millis(500);
+            let (headers, body, errand) = (Vec::new(), Bytes::new(), Errand::Health { path });
+            let call = Call { post: false, addr, path: String::new(), headers, body, limit, errand };
+            self.call(Called::Probe { worker }, call);
+        }
+    }
+
+    pub(super) fn probed(&mut self, id: WorkerId, reply: Reply, now: Time) {
+        let Some(f) = self.workers.get_mut(&id) else { return };
+        match reply {
+            Reply::Health { worker: Some(w), .. } if w != id => f.gone = true,
+            Reply::Health { well: true, .. } => {
+                if f.down.pass() {
+                    self.out.push(Effect::Note(Note::WorkerBack, id.to_string()));
+                    self.send_rooms(now);
+                }
+            }
+            _ => _ = f.down.fail(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/waitlist/src/store/posts.rs
@@ -0,0 +1,361 @@
+//! Routed messages: handed to whichever delivery can reach a worker of their
+//! service, and what becomes of them.
+use super::dispatch::ended;
+use super::{Body, Parked};
+use crate::prelude::*;
+
+/// What a delivery last said it takes here.
+/// Invariant: of one delivery only the newest word counts.
+pub struct Taking {
+    life: Mark,
+    asked: Time,
+    at: Time,
+    services: BTreeMap<String, u32>,
+    addresses: BTreeSet<Duty>,
+}
+
+/// A word older than this is no longer acted on.
+const WORD: Span = Span::millis(1200);
+/// How long a delivery may hold a message before it begins a run of it.
+pub const POST_GRACE: Span = Span::secs(2);
+/// Of one address to be called back at, so many at once from one store.
+const CALLS_AT_ONCE: u32 = 6;
+/// The hard end of one call-back.
+pub const CALL: Span = Span::millis(2500);
+/// A call-back that failed is tried again after this, doubled to the cap.
+const CALL_PAUSE: Span = Span::millis(300);
+const CALL_PAUSE_MAX: Span = Span::secs(2);
+/// After a run that failed, doubled to the cap; after one that may have run;
+/// after one that did not.
+const FAILED_PAUSE: Span = Span::millis(60);
+const FAILED_PAUSE_MAX: Span = Span::secs(2);
+const DOUBT_PAUSE: Span = Span::millis(120);
+const UNSTARTED_PAUSE: Span = Span::millis(40);
+/// So many bodies are read back for one line at once.
+const LATER_MAX: u32 = 16;
+const READ: Span = Span::secs(1);
+
+/// When a message was handed in, by this store's clock: what was read from
+/// disk or copied from a sibling tells it by the time of day.
+pub(super) fn taken(head: &Head, made: Time, wall: u64, now: Time) -> Time {
+    if head.born == 0 || wall == 0 {
+        return now;
+    }
+    let day = wall + now.since(made).0;
+    Time(now.0.saturating_sub(day.saturating_sub(head.born)))
+}
+
+/// One line with something due, and its place in turn.
+struct Line {
+    priority: u32,
+    first: Time,
+    place: Place,
+    /// Its route, or the address to be called back at.
+    name: String,
+}
+
+impl Store {
+    pub(super) fn on_reach(
+        &mut self,
+        from: &Daemon,
+        asked: Time,
+        reach: Reach,
+        places: &[(Place, Epoch)],
+        holding: &[Holding],
+        now: Time,
+    ) {
+        let old = self.taking.get(from);
+        if old.is_some_and(|t| t.life == reach.life && t.asked > asked) {
+            return;
+        }
+        self.stirred = true;
+        if old.is_some_and(|t| t.life != reach.life) {
+            self.life_over(from, reach.life, now);
+        }
+        let services = reach.services.into_iter().collect();
+        let addresses = reach.addresses.into_iter().collect();
+        self.taking.insert(from.clone(), Taking { life: reach.life, asked, at: now, services, addresses });
+        self.vouch(from, places, holding, now);
+    }
+
+    /// A delivery lives anew: what its earlier life had in hand is over, and
+    /// may have run.
+    fn life_over(&mut self, from: &Daemon, life: Mark, now: Time) {
+        let mut over = Vec::new();
+        for (place, p) in &self.parts {
+            let Some(own) = p.own.as_ref() else { continue };
+            let gone = own.lane.flights.iter().filter(|(_, f)| f.to == *from && f.goal.is_some() && f.life != life);
+            over.extend(gone.filter_map(|(seq, _)| Some((place.clone(), *seq, own.lane.ids.get(seq)?.clone()))));
+        }
+        for (place, seq, id) in over {
+            if let Some(own) = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()) {
+                own.lane.flights.remove(&seq);
+            }
+            self.post_back(&place, &id, Told::Doubt, now);
+        }
+    }
+
+    /// A delivery that knows a new keeper's epoch takes nothing of an earlier
+    /// one any more. Once every delivery has said so, only what one of them
+    /// names is still under way, and the rest need not wait.
+    fn vouch(&mut self, from: &Daemon, places: &[(Place, Epoch)], holding: &[Holding], now: Time) {
+        let all: BTreeSet<&Daemon> = self.link.members.keys().filter(|d| d.kind() == Kind::Delivery).collect();
+        for (place, epoch) in places {
+            let Some(p) = self.parts.get_mut(place) else { continue };
+            let Some(own) = p.own.as_mut() else { continue };
+            if own.epoch != *epoch || own.phase != Phase::Serving || own.quiet <= now {
+                continue;
+            }
+            let held = holding.iter().filter(|h| h.place == *place).filter_map(|h| p.recs.get(&h.id)).map(|r| r.head.seq);
+            own.vouched.insert(from.clone(), held.collect());
+            if !all.iter().all(|d| own.vouched.contains_key(*d)) {
+                continue;
+            }
+            let held: BTreeSet<u64> = own.vouched.values().flatten().copied().collect();
+            let quiet = own.quiet;
+            for (route, due) in std::mem::take(&mut own.lane.posts) {
+                for (at, seq) in due.iter() {
+                    let rests = at != quiet || held.contains(&seq);
+                    own.lane.post(&route, if rests { at } else { now }, seq);
+                }
+            }
+            for set in own.lane.calls.values_mut() {
+                let rest: Vec<u64> = set.iter().filter(|(t, s)| *t == quiet && !held.contains(s)).map(|x| x.1).collect();
+                for seq in rest {
+                    set.remove(&(quiet, seq));
+                    set.insert((now, seq));
+                }
+            }
+        }
+    }
+
+    /// Hands out what is due: to a delivery of this zone while it has room,
+    /// else to the one that has most.
+    pub(super) fn fill_posts(&mut self, now: Time) {
+        if self.taking.is_empty() || self.link.rules.spool == 0 {
+            return;
+        }
+        if self.routed != self.link.rules.version {
+            self.routed = self.link.rules.version;
+            self.end_dropped(now);
+        }
+        let mut out: BTreeMap<(Goal, Daemon), u32> = BTreeMap::new();
+        let mut goals: BTreeMap<Goal, Vec<Line>> = BTreeMap::new();
+        for (place, p) in &self.parts {
+            let Some(own) = p.own.as_ref() else { continue };
+            for f in own.lane.flights.values() {
+                if let Some(g) = &f.goal {
+                    *out.entry((g.clone(), f.to.clone())).or_default() += 1;
+                }
+            }
+            if own.shed.is_some() || !self.link.rules.spooled(place) || !self.serving(place, now) {
+                continue;
+            }
+            for (name, due) in &own.lane.posts {
+                let Some((first, _)) = due.first().filter(|f| f.0 <= now) else { continue };
+                let Some(route) = self.link.rules.routes.get(name) else { continue };
+                let line = Line { priority: route.priority, first, place: place.clone(), name: name.clone() };
+                goals.entry(Goal::Service(route.service.clone())).or_default().push(line);
+            }
+            for (desk, set) in &own.lane.calls {
+                let Some((first, _)) = set.first().filter(|f| f.0 <= now) else { continue };
+                let line = Line { priority: 0, first: *first, place: place.clone(), name: desk.clone() };
+                goals.entry(Goal::Address(desk.clone())).or_default().push(line);
+            }
+        }
+        let mut offers: BTreeMap<Daemon, (Time, Vec<Offer>)> = BTreeMap::new();
+        for (goal, mut lines) in goals {
+            lines.sort_by(|a, b| (b.priority, b.first).cmp(&(a.priority, a.first)));
+            while let Some(line) = lines.pop() {
+                let Some((to, asked, life)) = self.taker(&goal, &out, now) else { break };
+                let Some(offer) = self.take_post(&line, &goal, &to, life, now) else { continue };
+                *out.entry((goal.clone(), to.clone())).or_default() += 1;
+                self.counts.offers += 1;
+                offers.entry(to).or_insert((asked, Vec::new())).1.push(offer);
+                // Lines of one priority take turns.
+                let at = lines.iter().position(|l| l.priority == line.priority).unwrap_or(lines.len());
+                lines.insert(at, line);
+            }
+        }
+        for (to, (asked, all)) in offers {
+            self.say(&to, Msg::Offers { asked, all });
+        }
+    }
+
+    fn taker(&self, goal: &Goal, out: &BTreeMap<(Goal, Daemon), u32>, now: Time) -> Option<(Daemon, Time, Mark)> {
+        let zone = &self.startup.me.zone;
+        let spare = |d: &Daemon, t: &Taking| {
+            let most = match goal {
+                Goal::Service(s) => t.services.get(s).copied().unwrap_or(0),
+                Goal::Address(a) if t.addresses.contains(&Duty::of_address(a)) => CALLS_AT_ONCE,
+                Goal::Address(_) => 0,
+            };
+            most.saturating_sub(out.get(&(goal.clone(), d.clone())).copied().unwrap_or(0))
+        };
+        let fit = self.taking.iter().filter(|(_, t)| now.since(t.at) < WORD);
+        let best = fit
+            .map(|(d, t)| (spare(d, t), d, t))
+            .filter(|x| x.0 > 0)
+            .max_by_key(|(s, d, _)| (self.link.zone_of(d) == Some(zone), *s, std::cmp::Reverse(*d)))?;
+        Some((best.1.clone(), best.2.asked, best.2.life))
+    }
+
+    fn take_post(&mut self, line: &Line, goal: &Goal, to: &Daemon, life: Mark, now: Time) -> Option<Offer> {
+        let call = matches!(goal, Goal::Address(_));
+        let attempt = match call {
+            true => CALL,
+            false => self.link.rules.routes.get(&line.name)?.attempt,
+        };
+        let worth = self.link.rules.routes.get(&line.name).map(|r| r.worth);
+        let place = &line.place;
+        let mut later = 0;
+        loop {
+            let p = self.parts.get_mut(place)?;
+            let own = p.own.as_mut()?;
+            let seq = match call {
+                true => own.lane.pop(Some(&line.name), now)?,
+                false => own.lane.posts.get_mut(&line.name)?.pop(now)?,
+            };
+            let Some(r) = own.lane.ids.get(&seq).and_then(|id| p.recs.get(id)) else { continue };
+            let id = r.head.id.clone();
+            if own.won.contains(&seq) {
+                self.settle_won(place, &id, now);
+                continue;
+            }
+            if !call && worth.is_some_and(|w| now.since(r.taken) > w) {
+                let next = ended(r, Outcome::Expired);
+                self.stage(place, &id, next, None, now);
+                continue;
+            }
+            let (head, body) = match self.post_bytes(place, &id, call) {
+                Ok(x) => x,
+                Err(bad) => {
+                    let own = self.parts.get_mut(place).and_then(|p| p.own.as_mut())?;
+                    own.lane.post(&line.name, now + READ, seq);
+                    if bad {
+                        self.found_bad(place, &id, now);
+                        continue;
+                    }
+                    later += 1;
+                    let who = Parked::Post { route: line.name.clone(), seq };
+                    if !self.park(place, &id, who) || later >= LATER_MAX {
+                        return None;
+                    }
+                    continue;
+                }
+            };
+            let p = self.parts.get_mut(place)?;
+            let stage = p.recs.get(&id)?.stage;
+            let own = p.own.as_mut()?;
+            own.attempts += 1;
+            let (epoch, attempt_id) = (own.epoch, own.attempts);
+            let duty = Duty::Reach(String::new());
+            let flight = Flight {
+                duty: duty.clone(),
+                to: to.clone(),
+                attempt: attempt_id,
+                owes: String::new(),
+                goal: Some(goal.clone()),
+                life,
+                end: now + (attempt + POST_GRACE).percent(105),
+            };
+            own.lane.flights.insert(seq, flight);
+            let place = place.clone();
+            return Some(Offer { duty, place, head, stage, epoch, attempt: attempt_id, body, goal: Some(goal.clone()) });
+        }
+    }
+
+    /// A message's head and bytes as they are handed out; a call-back carries
+    /// none, and its head says so. `Err` when they are not at hand, and
+    /// whether the copy here is bad.
+    fn post_bytes(&mut self, place: &Place, id: &MessageId, call: bool) -> Result<(Head, Bytes), bool> {
+        let head = self.parts.get(place).and_then(|p| p.recs.get(id)).map(|r| r.head.clone()).ok_or(true)?;
+        if call {
+            return Ok((Head { len: 0, crc: crc32(b""), ..head }, Bytes::new()));
+        }
+        match self.body_of(place, id) {
+            Body::Here(b) => Ok((head, b)),
+            Body::Later => Err(false),
+            Body::Bad => Err(true),
+        }
+    }
+
+    /// An attempt's hard end has passed without a word of it.
+    pub(super) fn lapsed(&mut self, place: &Place, id: &MessageId, now: Time) {
+        let routed = self.parts.get(place).and_then(|p| p.recs.get(id)).is_some_and(|r| !r.head.route.is_empty());
+        match routed {
+            true => self.post_back(place, id, Told::Doubt, now),
+            false => self.back(place, id, true, now),
+        }
+    }
+
+    /// A run ended without success: again later, or given up when a worker
+    /// has said so often enough that it failed.
+    pub(super) fn post_back(&mut self, place: &Place, id: &MessageId, told: Told, now: Time) {
+        let jitter = self.rng.u64(70..=100);
+        let Some(p) = self.parts.get_mut(place) else { return };
+        let (Some(own), Some(r)) = (p.own.as_mut(), p.recs.get_mut(id)) else { return };
+        let seq = r.head.seq;
+        if own.won.contains(&seq) {
+            return self.settle_won(place, id, now);
+        }
+        let double = |base: Span, n: u32, cap: Span| Span((base.0 << n.min(12)).min(cap.0)).percent(jitter);
+        match r.stage {
+            Stage::Work => {
+                let Some(route) = self.link.rules.routes.get(&r.head.route) else {
+                    let next = ended(r, Outcome::Expired);
+                    return self.stage(place, id, next, None, now);
+                };
+                r.tries += u32::from(told == Told::Failed);
+                if r.tries >= route.attempts {
+                    let next = ended(r, Outcome::GivenUp);
+                    return self.stage(place, id, next, None, now);
+                }
+                let pause = match told {
+                    Told::Failed => double(FAILED_PAUSE, r.tries - 1, FAILED_PAUSE_MAX),
+                    Told::Unstarted => UNSTARTED_PAUSE,
+                    _ => DOUBT_PAUSE,
+                };
+                let route = r.head.route.clone();
+                own.lane.post(&route, now + pause, seq);
+            }
+            Stage::Owing(_) => {
+                let pause = match told {
+                    Told::Unstarted => UNSTARTED_PAUSE,
+                    _ => double(CALL_PAUSE, r.tries, CALL_PAUSE_MAX),
+                };
+                r.tries += u32::from(told != Told::Unstarted);
+                own.lane.calls.entry(r.head.desk.clone()).or_default().insert((now + pause, seq));
+            }
+            Stage::Calling | Stage::Ended(_) => {}
+        }
+    }
+
+    /// Messages whose route a charter dropped, or that are past their worth,
+    /// end; those under way when their run does.
+    pub(super) fn end_dropped(&mut self, now: Time) {
+        let rules = &self.link.rules;
+        let mut gone: Vec<(Place, MessageId, Stage)> = Vec::new();
+        for (place, p) in self.parts.iter().filter(|(k, _)| rules.spooled(k) && self.serving(k, now)) {
+            let Some(own) = p.own.as_ref() else { continue };
+            for (name, due) in &own.lane.posts {
+                let route = rules.routes.get(name);
+                for (_, seq) in due.iter() {
+                    let Some(r) = own.lane.ids.get(&seq).and_then(|id| p.recs.get(id)) else { continue };
+                    if route.is_none_or(|x| now.since(r.taken) > x.worth) && !own.lane.rests(seq, own.quiet, now) {
+                        gone.push((place.clone(), r.head.id.clone(), ended(r, Outcome::Expired)));
+                    }
+                }
+            }
+        }
+        for (place, id, next) in gone {
+            if let Some(p) = self.parts.get_mut(&place) {
+                let (Some(own), Some(r)) = (p.own.as_mut(), p.recs.get(&id)) else { continue };
+                if let Some(due) = own.lane.posts.get_mut(&r.head.route) {
+                    due.take(r.head.seq);
+                }
+            }
+            self.stage(&place, &id, next, None, now);
+        }
+    }
+}
