--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -21,6 +21,8 @@
     Needed { key: String },
     #[snafu(display("'seeds' names {count} daemons; name the three placement daemons"))]
     Seeds { count: usize },
+    #[snafu(display("'fronts' serve the platform's words; set 'speech' to \"platform\", or leave them out"))]
+    Fronts,
     #[snafu(display("unsafe times: {why}; {remedy}"))]
     Unsafe { why: String, remedy: String },
 }
@@ -43,7 +45,9 @@
     /// Where siblings reach it, when that is not `listen`.
     #[serde(default)]
     pub announce: Option<String>,
-    /// For callers and operators.
+    /// The product's own interface; may be left out where the platform's
+    /// words are spoken.
+    #[serde(default)]
     pub http: String,
     #[serde(default)]
     pub seeds: Vec<String>,
@@ -59,6 +63,38 @@
     pub times: Times,
     #[serde(default)]
     pub bounds: Bounds,
+    /// Whose words are spoken with the outside.
+    #[serde(default, skip_serializing_if = "usual")]
+    pub speech: Words,
+    /// Founds a new fleet on empty data folders, as `--bootstrap` does.
+    #[serde(default, skip_serializing_if = "usual")]
+    pub bootstrap: bool,
+    /// Where the platform's words are served, `ip:port`.
+    #[serde(default, skip_serializing_if = "usual")]
+    pub fronts: Vec<String>,
+    /// The machine's own name.
+    #[serde(default, skip_serializing_if = "usual")]
+    pub machine: String,
+    /// Where placement daemons listen for siblings, for seeds without a name.
+    #[serde(default, skip_serializing_if = "usual")]
+    pub sibling_port: u16,
+    /// What the machine gives the process; bounds not set follow from it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<Limits>,
+    #[serde(default, skip_serializing_if = "usual")]
+    pub intake: Intake,
+}
+
+fn usual<T: Default + PartialEq>(v: &T) -> bool {
+    *v == T::default()
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Words {
+    #[default]
+    Own,
+    Platform,
 }
 
 /// All in milliseconds but `drift_percent`.
@@ -216,22 +252,34 @@
 impl Startup {
     pub fn read(path: &Path) -> Result<Startup, StartupError> {
         let text = std::fs::read_to_string(path).context(MissingSnafu { path })?;
-        serde_json::from_str(&text).context(FaultySnafu { path })
+        let given: serde_json::Value = serde_json::from_str(&text).context(FaultySnafu { path })?;
+        let mut startup: Startup = serde_json::from_str(&text).context(FaultySnafu { path })?;
+        if let Some(limits) = startup.limits {
+            limits.bound(&mut startup, &given);
+        }
+        Ok(startup)
     }
 
     /// Checks everything that can be checked without starting.
     pub fn check(&self, kind: &str) -> Result<(), StartupError> {
         ensure!(self.id.starts_with(&format!("{kind}-")), WrongKindSnafu { id: &self.id, kind });
         let announce = self.announce.as_ref().unwrap_or(&self.listen);
-        for (key, value) in [("listen", &self.listen), ("http", &self.http), ("announce", announce)] {
+        let own = (self.speech == Words::Own || !self.http.is_empty()).then_some(("http", &self.http));
+        let fronts = self.fronts.iter().map(|f| ("fronts", f));
+        for (key, value) in [("listen", &self.listen), ("announce", announce)].into_iter().chain(own).chain(fronts) {
             ensure!(value.parse::<SocketAddr>().is_ok(), AddressSnafu { key, value });
         }
+        ensure!(self.speech == Words::Platform || self.fronts.is_empty(), FrontsSnafu);
         ensure!(!self.cluster.is_empty(), NeededSnafu { key: "cluster" });
         ensure!(!self.zone.is_empty(), NeededSnafu { key: "zone" });
         if kind == "proxy" {
             self.agent()?;
         } else {
-            ensure!(self.seeds.len() == 3, SeedsSnafu { count: self.seeds.len() });
+            let fit = match self.speech {
+                Words::Own => 3..=3,
+                Words::Platform => 1..=3,
+            };
+            ensure!(fit.contains(&self.seeds.len()), SeedsSnafu { count: self.seeds.len() });
             self.seeds()?;
         }
         if matches!(kind, "placement" | "store") {
@@ -240,7 +288,18 @@
         self.times.check()
     }
     pub fn seeds(&self) -> Result<Vec<Named>, StartupError> {
-        self.seeds.iter().map(|s| named("seeds", s)).collect()
+        self.seeds.iter().map(|s| self.seed(s)).collect()
+    }
+    /// A seed by name, or by where it serves operators: it then listens for
+    /// siblings at the same IP number.
+    fn seed(&self, value: &str) -> Result<Named, StartupError> {
+        if value.contains('=') || self.speech == Words::Own {
+            return named("seeds", value);
+        }
+        let addr: SocketAddr = value.parse().ok().context(AddressSnafu { key: "seeds", value })?;
+        ensure!(self.sibling_port != 0, NeededSnafu { key: "sibling_port" });
+        let at = SocketAddr::new(addr.ip(), self.sibling_port);
+        Ok(Named { id: Daemon(format!("placement-{}", addr.ip())), addr: at.to_string() })
     }
     pub fn agent(&self) -> Result<Named, StartupError> {
         let a = self.agent.as_ref().context(NeededSnafu { key: "agent" })?;
@@ -251,7 +310,7 @@
             id: Daemon(self.id.clone()),
             zone: Zone(self.zone.clone()),
             addr: self.announce.clone().unwrap_or_else(|| self.listen.clone()),
-            http: self.http.clone(),
+            http: self.fronts.first().unwrap_or(&self.http).clone(),
             life,
             disk: Mark(0),
         }
