--- /dev/null
+++ b/crates/placement/src/primary/revise.rs
@@ -0,0 +1,124 @@
+//! Charters that carry their operator's own number.
+use super::asks::{faulty, wrong};
+use super::{done, Pending};
+use crate::prelude::*;
+use serde_json::json;
+
+/// Those who wait for one and the same order, at most.
+const WAITING_MAX: usize = 64;
+/// Stores are still coming in when the newest one joined within this.
+const GROWING: Span = Span::millis(500);
+const AGAIN: Span = Span::millis(300);
+
+/// The id of an order, the same for the same words on the same base.
+fn op_of(base: u64, json: &str, patch: bool) -> String {
+    let kind = if patch { "p" } else { "w" };
+    format!("r{base}>{kind}{:016x}", hash_of(json.as_bytes()))
+}
+
+impl Placement {
+    pub(super) fn revise(&mut self, id: AskId, base: u64, json: &str, part: bool, now: Time) -> Option<Verdict> {
+        let op = op_of(base, json, part);
+        if let Some(v) = self.hard.ops.iter().find(|o| o.0 == op).map(|o| o.2) {
+            return Some(done(v, &op));
+        }
+        if let Some(all) = self.waiting(&op) {
+            if all.len() >= WAITING_MAX {
+                return Some(later("this order is under way; ask again"));
+            }
+            all.push(id);
+            return None;
+        }
+        if base != self.rules.revision {
+            return Some(self.outrun(self.hard.charter_version));
+        }
+        let canon = match self.numbered(json, part, now) {
+            Ok(json) => json,
+            Err(Unfit::Later(why)) => return Some(later(why)),
+            Err(Unfit::Wrong(e)) => {
+                self.note(Note::CharterRefused, e.to_string());
+                return Some(faulty(&e));
+            }
+        };
+        let order = Order::Charter { op: op.clone(), base: self.hard.charter_version, json: canon };
+        self.propose(order, Pending::Revision(vec![id], op), now);
+        None
+    }
+
+    /// Those who wait for an order that is under way.
+    fn waiting(&mut self, op: &str) -> Option<&mut Vec<AskId>> {
+        self.pending.values_mut().find_map(|(_, p)| match p {
+            Pending::Revision(all, o) if o == op => Some(all),
+            _ => None,
+        })
+    }
+
+    /// The canonical form of a numbered charter that may follow the one in force.
+    fn numbered(&self, json: &str, part: bool, now: Time) -> Result<String, Unfit> {
+        let read = match part {
+            false => dw_charter::check::read(json),
+            true => self.standing().and_then(|c| patch(&c, json)),
+        };
+        let mut c = read.map_err(Unfit::Wrong)?;
+        self.settle(&mut c, now)?;
+        if c.revision == 0 {
+            let fault = Fault::new("revision", "0 is no number of a charter", "number it from 1 on, above the one in force");
+            return Err(Unfit::Wrong(CharterError::Faulty { faults: vec![fault] }));
+        }
+        self.fit(&c).map_err(Unfit::Wrong)?;
+        canonical(&c).map_err(Unfit::Wrong)
+    }
+
+    /// The charter in force; an empty one when there is none.
+    pub(super) fn standing(&self) -> Result<Charter, CharterError> {
+        if self.hard.charter.is_empty() {
+            return Ok(Charter::default());
+        }
+        dw_charter::check::read(&self.hard.charter)
+    }
+
+    /// Fills in what placement chooses: the spool's partitions, once and for
+    /// all, by the stores there are.
+    pub(super) fn settle(&self, c: &mut Charter, now: Time) -> Result<(), Unfit> {
+        if c.spool == 0 {
+            c.spool = self.rules.spool;
+        }
+        if c.spool > 0 || c.routes.is_empty() {
+            return Ok(());
+        }
+        let live: Vec<&Member> = self.hard.of(Kind::Store).filter(|m| self.live(&m.id, now)).collect();
+        let zones: BTreeSet<&Zone> = live.iter().map(|m| &m.zone).collect();
+        if live.len() < 3 || zones.len() < 2 || now.since(self.grown) < GROWING {
+            return Err(Unfit::Later("the stores are still coming in, three in two zones are needed; send it again"));
+        }
+        let stores = self.hard.of(Kind::Store).filter(|m| !self.retiring(&m.id)).count();
+        c.spool = (stores as u32 * 2).clamp(6, 64);
+        Ok(())
+    }
+
+    /// Another revision is in force than the one this was made from.
+    pub(super) fn outrun(&self, v: Version) -> Verdict {
+        let revision = self.rules.revision;
+        let text = json!({"error": "the base is no longer the newest; read the charter again and mend your change",
+                          "revision": revision, "version": v.to_string()});
+        Verdict::json(409, text.to_string())
+    }
+}
+
+/// Why a charter can't be taken, now or at all.
+pub(super) enum Unfit {
+    Later(&'static str),
+    Wrong(CharterError),
+}
+
+pub(super) fn canonical(c: &Charter) -> Result<String, CharterError> {
+    let json = serde_json::to_string(c).map_err(|source| CharterError::Unreadable { source })?;
+    if json.len() > CHARTER_MAX {
+        return Err(CharterError::Large { size: json.len() });
+    }
+    Ok(json)
+}
+
+pub(super) fn later(why: &str) -> Verdict {
+    Verdict { after: Some(AGAIN), ..wrong(503, why) }
+}
