--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -252,8 +252,12 @@
 impl Startup {
     pub fn read(path: &Path) -> Result<Startup, StartupError> {
         let text = std::fs::read_to_string(path).context(MissingSnafu { path })?;
-        let given: serde_json::Value = serde_json::from_str(&text).context(FaultySnafu { path })?;
-        let mut startup: Startup = serde_json::from_str(&text).context(FaultySnafu { path })?;
+        Startup::parse(&text, path)
+    }
+    /// Reads a startup file's text; `path` is where it came from.
+    pub fn parse(text: &str, path: &Path) -> Result<Startup, StartupError> {
+        let given: serde_json::Value = serde_json::from_str(text).context(FaultySnafu { path })?;
+        let mut startup: Startup = serde_json::from_str(text).context(FaultySnafu { path })?;
         if let Some(limits) = startup.limits {
             limits.bound(&mut startup, &given);
         }
