--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -59,6 +59,9 @@
     /// The platform's list, `ip:port/path`; placement only.
     #[serde(default)]
     pub platform: Option<String>,
+    /// Calls a second the list takes from all daemons; 0 for no bound.
+    #[serde(default, skip_serializing_if = "zero")]
+    pub list_rate: f64,
     #[serde(default)]
     pub times: Times,
     #[serde(default)]
@@ -97,6 +100,10 @@
     Platform,
 }
 
+fn zero(n: &f64) -> bool {
+    *n == 0.0
+}
+
 /// All in milliseconds but `drift_percent`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
