--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -19,7 +19,9 @@
     WrongKind { id: String, kind: String },
     #[snafu(display("'{key}' is missing; this program needs it"))]
     Needed { key: String },
-    #[snafu(display("'seeds' names {count} daemons; name the three placement daemons"))]
+    #[snafu(display(
+        "'seeds' names {count} daemons; name the three placement daemons, or with 'speech' \"platform\" 1 to 3 of them"
+    ))]
     Seeds { count: usize },
     #[snafu(display("'fronts' serve the platform's words; set 'speech' to \"platform\", or leave them out"))]
     Fronts,
