One hand-over to the network for each step, and last words before the end

Each effect woke the network's thread by itself; a step's effects now go over as one batch. Lines to siblings and calls live on that thread alone. At the end the process writes out what waits, answers what is under way and closes the quiet, within 500 ms; before, the last answers raced with its exit.

--- a/crates/shell/src/front.rs
+++ b/crates/shell/src/front.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// Shared by all connections of one address.
 /// Invariant: `open` counts them, and is at most `intake.connections`.
@@ -18,10 +19,39 @@
     front: Front,
     desk: Arc<Desk>,
     intake: Intake,
-    leaving: Arc<AtomicBool>,
+    leaving: Leaving,
     open: AtomicUsize,
 }
 
+/// How far the daemon is on its way out.
+#[derive(Clone)]
+pub struct Leaving {
+    /// Each answer ends its connection.
+    told: Arc<AtomicBool>,
+    /// What is under way is answered, then all connections end.
+    end: watch::Sender<bool>,
+}
+
+impl Default for Leaving {
+    fn default() -> Leaving {
+        Leaving { told: Arc::default(), end: watch::Sender::new(false) }
+    }
+}
+
+impl Leaving {
+    pub fn tell(&self) {
+        self.told.store(true, Ordering::Relaxed);
+    }
+    pub fn told(&self) -> bool {
+        self.told.load(Ordering::Relaxed)
+    }
+    /// Ends every connection once its answer is out.
+    pub async fn end(&self) {
+        self.end.send_replace(true);
+        self.end.closed().await;
+    }
+}
+
 /// A connection's seat, given back when it ends in whatever way.
 struct Seat(Arc<Door>);
 
@@ -39,11 +69,16 @@
 }
 
 /// Serves a front for as long as the process runs.
-pub async fn serve(at: std::net::TcpListener, front: Front, desk: Arc<Desk>, intake: Intake, leaving: Arc<AtomicBool>) {
+pub async fn serve(at: std::net::TcpListener, front: Front, desk: Arc<Desk>, intake: Intake, leaving: Leaving) {
     let Ok(at) = TcpListener::from_std(at) else { return };
     let door = Arc::new(Door { front, desk, intake, leaving, open: AtomicUsize::new(0) });
+    let mut end = door.leaving.end.subscribe();
     loop {
-        let Ok((stream, _)) = at.accept().await else {
+        let next = tokio::select! {
+            next = at.accept() => next,
+            _ = ended(&mut end) => return,
+        };
+        let Ok((stream, _)) = next else {
             // Out of descriptors; those who end give some back.
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
@@ -60,6 +95,7 @@
 async fn connection(stream: TcpStream, seat: Seat) {
     tune(&stream);
     let intake = &seat.0.intake;
+    let mut end = seat.0.leaving.end.subscribe();
     let stand = Arc::new(Stand::default());
     let stream =
         Patience::new(stream, stand.clone(), Duration::from_millis(intake.head_ms), Duration::from_millis(intake.idle_ms));
@@ -69,7 +105,7 @@
             stand.set_busy(true);
             let mut response = door.take(request).await;
             stand.set_busy(false);
-            if door.leaving.load(Ordering::Relaxed) {
+            if door.leaving.told() {
                 close(&mut response);
             }
             Ok::<_, Infallible>(response.map(Full::new))
@@ -79,7 +115,20 @@
     // The stream itself sees to heads that come too slowly.
     http.header_read_timeout(None).max_buf_size(intake.head_bytes.max(8192)).max_headers(100);
     // Whatever ended it, the caller sees a closed connection.
-    let _ = http.serve_connection(TokioIo::new(stream), serve).await;
+    let mut work = std::pin::pin!(http.serve_connection(TokioIo::new(stream), serve));
+    let ended = tokio::select! {
+        _ = &mut work => false,
+        _ = ended(&mut end) => true,
+    };
+    if ended {
+        work.as_mut().graceful_shutdown();
+        let _ = work.await;
+    }
+}
+
+async fn ended(end: &mut watch::Receiver<bool>) {
+    // Whoever could end it otherwise is gone, which is an end as well.
+    drop(end.wait_for(|e| *e).await);
 }
 
 impl Door {
--- a/crates/shell/src/network.rs
+++ b/crates/shell/src/network.rs
@@ -1,18 +1,61 @@
 //! The one thread of all that goes over the network, in and out.
+use crate::calls::Caller;
+use crate::front::Leaving;
 use crate::prelude::*;
 use crate::run::{HttpSnafu, ListenSnafu, ThreadSnafu};
+use crate::wires::{Lines, Wires};
 use crossbeam_channel::Sender;
 use snafu::ResultExt;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Calls that wait to be begun.
-const CALLS: usize = 4096;
+/// Steps of the core whose posts wait for the network.
+const STEPS: usize = 4096;
+/// How long the last words of a process may take.
+const LAST_WORDS: Duration = Duration::from_millis(500);
 
-/// What the core's thread sends by.
+/// Something to be sent, or an answer to be given.
+pub enum Post {
+    Frame(Daemon, Vec<u8>),
+    Tell(AskId, Verdict),
+    Call(CallId, Call),
+}
+
+/// The network as the core's thread sees it.
 pub struct Network {
-    pub wires: Arc<crate::wires::Wires>,
-    pub calls: mpsc::Sender<(CallId, Call)>,
+    pub wires: Arc<Wires>,
+    posts: mpsc::Sender<Vec<Post>>,
+    thread: JoinHandle<()>,
+}
+
+impl Network {
+    /// Hands over what one step posts, at the price of one wake-up; `Err` is
+    /// what the network can't take.
+    pub fn post(&self, posts: Vec<Post>) -> Result<(), Vec<Post>> {
+        if posts.is_empty() {
+            return Ok(());
+        }
+        self.posts.try_send(posts).map_err(|e| e.into_inner())
+    }
+    /// Sends what waits, answers what is under way, and closes.
+    pub fn end(self) {
+        drop(self.posts);
+        // A network that failed has nothing left to say.
+        let _ = self.thread.join();
+    }
+}
+
+/// What the network's thread serves.
+struct Served {
+    wires: Arc<Wires>,
+    sockets: crate::wires::Sockets,
+    fronts: Vec<(std::net::TcpListener, Front)>,
+    caller: Caller,
+    desk: Arc<Desk>,
+    intake: Intake,
+    ring: Sender<Event>,
+    leaving: Leaving,
 }
 
 /// Binds every address, starts the thread, and waits until it serves.
@@ -30,48 +73,59 @@
         let at = crate::front::bind(front).context(ListenSnafu { addr: &front.addr })?;
         fronts.push((at, front.clone()));
     }
-    let (calls, todo) = mpsc::channel(CALLS);
+    let caller = Caller::new(speech.outbound, ring.clone());
+    let served =
+        Served { wires: wires.clone(), sockets, fronts, caller, desk, intake: startup.intake, ring, leaving: Leaving::default() };
+    let (posts, todo) = mpsc::channel(STEPS);
     let (tx, rx) = std::sync::mpsc::sync_channel(1);
-    let (http, intake) = (startup.http.clone(), startup.intake);
-    let net = Network { wires: wires.clone(), calls };
+    let http = startup.http.clone();
     let serve = move || {
         let Ok(rt) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
         rt.block_on(async move {
-            let leaving = Arc::new(AtomicBool::new(false));
-            tokio::spawn(crate::calls::serve(todo, speech.outbound, ring.clone()));
-            for (at, front) in fronts {
-                tokio::spawn(crate::front::serve(at, front, desk.clone(), intake, leaving.clone()));
-            }
-            tokio::spawn(watch_signals(ring.clone(), leaving));
-            let own = (!http.is_empty()).then(|| crate::desk::bind(face, &http, desk)).transpose();
-            let (own, said) = match own {
-                Ok(own) => (own, Ok(())),
-                Err(why) => (None, Err(why)),
-            };
-            let failed = said.is_err();
-            let _ = tx.send(said);
-            if failed {
-                return;
-            }
-            if let Some(server) = own {
-                tokio::spawn(server);
+            let own = (!http.is_empty()).then(|| crate::desk::bind(face, &http, served.desk.clone())).transpose();
+            match own {
+                Err(why) => return drop(tx.send(Err(why))),
+                Ok(server) => drop(server.map(tokio::spawn)),
             }
-            crate::wires::serve(wires, sockets, ring).await;
+            let _ = tx.send(Ok(()));
+            served.run(todo).await;
         });
     };
-    std::thread::Builder::new().name("network".into()).spawn(serve).context(ThreadSnafu)?;
-    match rx.recv() {
-        Ok(Ok(())) => Ok(net),
-        Ok(Err(why)) => HttpSnafu { addr: &startup.http, why }.fail(),
-        Err(e) => HttpSnafu { addr: &startup.http, why: e.to_string() }.fail(),
+    let thread = std::thread::Builder::new().name("network".into()).spawn(serve).context(ThreadSnafu)?;
+    let said = rx.recv().unwrap_or_else(|e| Err(e.to_string()));
+    if let Err(why) = said {
+        return HttpSnafu { addr: &startup.http, why }.fail();
+    }
+    Ok(Network { wires, posts, thread })
+}
+
+impl Served {
+    async fn run(self, mut todo: mpsc::Receiver<Vec<Post>>) {
+        tokio::spawn(watch_signals(self.ring.clone(), self.leaving.clone()));
+        for (at, front) in self.fronts {
+            tokio::spawn(crate::front::serve(at, front, self.desk.clone(), self.intake, self.leaving.clone()));
+        }
+        tokio::spawn(crate::wires::serve(self.wires.clone(), self.sockets, self.ring));
+        let mut lines = Lines::new(self.wires);
+        while let Some(posts) = todo.recv().await {
+            for p in posts {
+                match p {
+                    Post::Frame(to, frame) => lines.write(to, frame),
+                    Post::Tell(id, v) => self.desk.tell(id, v),
+                    Post::Call(id, call) => self.caller.begin(id, call),
+                }
+            }
+        }
+        let last = async { tokio::join!(lines.end(), self.leaving.end()) };
+        let _ = tokio::time::timeout(LAST_WORDS, last).await;
     }
 }
 
-async fn watch_signals(ring: Sender<Event>, leaving: Arc<AtomicBool>) {
+async fn watch_signals(ring: Sender<Event>, leaving: Leaving) {
     use tokio::signal::unix::{signal, SignalKind};
     let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) else { return };
     tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
     log::info!("{} {}", Note::Stopping.number(), Note::Stopping.what());
-    leaving.store(true, Ordering::Relaxed);
+    leaving.tell();
     crate::wires::push(&ring, Event::Leave).await;
 }
--- a/crates/shell/tests/front.rs
+++ b/crates/shell/tests/front.rs
@@ -1,8 +1,7 @@
 //! A front over real sockets, with a core of a few lines behind it.
-use dw_shell::front;
+use dw_shell::front::{self, Leaving};
 use dw_shell::prelude::*;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -29,7 +28,7 @@
     at: SocketAddr,
     desk: Arc<Desk>,
     events: crossbeam_channel::Receiver<Event>,
-    leaving: Arc<AtomicBool>,
+    leaving: Leaving,
 }
 
 fn room(intake: Intake, answer: Duration) -> Room {
@@ -38,7 +37,7 @@
     let f = Front { addr: "127.0.0.1:0".into(), inbound: Arc::new(Count), body_max: 1000 };
     let listener = front::bind(&f).unwrap();
     let at = listener.local_addr().unwrap();
-    let leaving = Arc::new(AtomicBool::new(false));
+    let leaving = Leaving::default();
     tokio::spawn(front::serve(listener, f, desk.clone(), intake, leaving.clone()));
     Room { at, desk, events, leaving }
 }
@@ -152,11 +151,32 @@
 async fn while_leaving_answers_close_their_connections() {
     let room = room(Intake::default(), LONG);
     room.content();
-    room.leaving.store(true, Ordering::Relaxed);
+    room.leaving.tell();
     let said = room.all("GET /a HTTP/1.1\r\nhost: h\r\n\r\n").await;
     assert!(said.contains("200 OK") && said.contains("connection: close"), "{said}");
 }
 
+#[tokio::test]
+async fn at_the_end_what_is_under_way_is_answered_and_the_quiet_are_closed() {
+    let room = room(Intake::default(), LONG);
+    let mut quiet = room.dial().await;
+    quiet.write_all(b"GET /away HTTP/1.1\r\nhost: h\r\n\r\n").await.unwrap();
+    let mut some = [0; 16];
+    quiet.read_exact(&mut some).await.unwrap();
+    let mut busy = room.dial().await;
+    busy.write_all(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n").await.unwrap();
+    let events = room.events.clone();
+    let asked = tokio::task::spawn_blocking(move || events.recv_timeout(LONG)).await.unwrap();
+    let Ok(Event::Ask(id, _)) = asked else { panic!("no ask") };
+    let leaving = room.leaving.clone();
+    let end = tokio::spawn(async move { leaving.end().await });
+    rest(&mut quiet).await;
+    assert!(!end.is_finished());
+    room.desk.tell(id, Verdict::json(200, String::new()));
+    assert!(rest(&mut busy).await.starts_with("HTTP/1.1 200"));
+    tokio::time::timeout(LONG, end).await.expect("it does not end").unwrap();
+}
+
 #[tokio::test]
 async fn connections_beyond_the_bound_are_closed_unread() {
     let room = room(Intake { connections: 1, ..Intake::default() }, LONG);
--- a/crates/shell/tests/patience.rs
+++ b/crates/shell/tests/patience.rs
@@ -48,7 +48,7 @@
     let (mut theirs, mut ours, stand) = pair();
     theirs.write_all(b"head").await.unwrap();
     let mut buf = [0; 8];
-    ours.read(&mut buf).await.unwrap();
+    ours.read_exact(&mut buf[..4]).await.unwrap();
     stand.set_busy(true);
     let send = async {
         for _ in 0..4 {
@@ -65,7 +65,7 @@
     let (mut theirs, mut ours, stand) = pair();
     theirs.write_all(b"head").await.unwrap();
     let mut buf = [0; 8];
-    ours.read(&mut buf).await.unwrap();
+    ours.read_exact(&mut buf[..4]).await.unwrap();
     stand.set_busy(true);
     let _ = timeout(IDLE / 2, ours.read(&mut buf)).await;
     stand.set_busy(false);
