--- a/crates/shell/src/front.rs
+++ b/crates/shell/src/front.rs
@@ -14,11 +14,11 @@
 use tokio::sync::watch;
 
 /// Shared by all connections of one address.
-/// Invariant: `open` counts them, and is at most `intake.connections`.
+/// Invariant: `open` counts them, and is at most the `intake.connections` in force.
 struct Door {
     front: Front,
     desk: Arc<Desk>,
-    intake: Intake,
+    settings: watch::Receiver<Startup>,
     leaving: Leaving,
     open: AtomicUsize,
 }
@@ -69,9 +69,15 @@
 }
 
 /// Serves a front for as long as the process runs.
-pub async fn serve(at: std::net::TcpListener, front: Front, desk: Arc<Desk>, intake: Intake, leaving: Leaving) {
+pub async fn serve(
+    at: std::net::TcpListener,
+    front: Front,
+    desk: Arc<Desk>,
+    settings: watch::Receiver<Startup>,
+    leaving: Leaving,
+) {
     let Ok(at) = TcpListener::from_std(at) else { return };
-    let door = Arc::new(Door { front, desk, intake, leaving, open: AtomicUsize::new(0) });
+    let door = Arc::new(Door { front, desk, settings, leaving, open: AtomicUsize::new(0) });
     let mut end = door.leaving.end.subscribe();
     loop {
         let next = tokio::select! {
@@ -83,7 +89,7 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        if door.open.load(Ordering::Relaxed) >= door.intake.connections {
+        if door.open.load(Ordering::Relaxed) >= door.intake().connections {
             // Closed unread: the caller knows that nothing was taken.
             continue;
         }
@@ -94,7 +100,7 @@
 
 async fn connection(stream: TcpStream, seat: Seat) {
     tune(&stream);
-    let intake = &seat.0.intake;
+    let intake = seat.0.intake();
     let mut end = seat.0.leaving.end.subscribe();
     let stand = Arc::new(Stand::default());
     let stream =
@@ -132,6 +138,9 @@
 }
 
 impl Door {
+    fn intake(&self) -> Intake {
+        self.settings.borrow().intake
+    }
     async fn take(&self, request: http::Request<Incoming>) -> Response {
         let (head, body) = request.into_parts();
         let max = self.front.body_max;
--- a/crates/shell/src/network.rs
+++ b/crates/shell/src/network.rs
@@ -3,12 +3,13 @@
 use crate::front::Leaving;
 use crate::prelude::*;
 use crate::run::{HttpSnafu, ListenSnafu, ThreadSnafu};
+use crate::settings::Settings;
 use crate::wires::{Lines, Wires};
 use crossbeam_channel::Sender;
 use snafu::ResultExt;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Steps of the core whose posts wait for the network.
 const STEPS: usize = 4096;
@@ -53,7 +54,7 @@
     fronts: Vec<(std::net::TcpListener, Front)>,
     caller: Caller,
     desk: Arc<Desk>,
-    intake: Intake,
+    settings: Settings,
     ring: Sender<Event>,
     leaving: Leaving,
 }
@@ -74,8 +75,16 @@
         fronts.push((at, front.clone()));
     }
     let caller = Caller::new(speech.outbound, ring.clone());
-    let served =
-        Served { wires: wires.clone(), sockets, fronts, caller, desk, intake: startup.intake, ring, leaving: Leaving::default() };
+    let served = Served {
+        wires: wires.clone(),
+        sockets,
+        fronts,
+        caller,
+        desk,
+        settings: Settings::new(startup.clone()),
+        ring,
+        leaving: Leaving::default(),
+    };
     let (posts, todo) = mpsc::channel(STEPS);
     let (tx, rx) = std::sync::mpsc::sync_channel(1);
     let http = startup.http.clone();
@@ -102,8 +111,11 @@
 impl Served {
     async fn run(self, mut todo: mpsc::Receiver<Vec<Post>>) {
         tokio::spawn(watch_signals(self.ring.clone(), self.leaving.clone()));
+        let (taken, settings) = watch::channel(self.settings.now().clone());
+        tokio::spawn(crate::settings::keep(self.settings, taken));
+        tokio::spawn(learn(self.wires.clone(), settings.clone()));
         for (at, front) in self.fronts {
-            tokio::spawn(crate::front::serve(at, front, self.desk.clone(), self.intake, self.leaving.clone()));
+            tokio::spawn(crate::front::serve(at, front, self.desk.clone(), settings.clone(), self.leaving.clone()));
         }
         tokio::spawn(crate::wires::serve(self.wires.clone(), self.sockets, self.ring));
         let mut lines = Lines::new(self.wires);
@@ -121,6 +133,16 @@
     }
 }
 
+/// Takes over where seeds are, each time the settings change.
+async fn learn(wires: Arc<Wires>, mut settings: watch::Receiver<Startup>) {
+    while settings.changed().await.is_ok() {
+        let seeds = settings.borrow_and_update().seeds().unwrap_or_default();
+        for s in seeds {
+            wires.learn(&s.id, &s.addr);
+        }
+    }
+}
+
 async fn watch_signals(ring: Sender<Event>, leaving: Leaving) {
     use tokio::signal::unix::{signal, SignalKind};
     let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) else { return };
--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum StartupError {
     #[snafu(display("the startup file {} can't be read: {source}; name an existing file with --startup", path.display()))]
     Missing { path: PathBuf, source: std::io::Error },
@@ -25,6 +26,8 @@
     Seeds { count: usize },
     #[snafu(display("'fronts' serve the platform's words; set 'speech' to \"platform\", or leave them out"))]
     Fronts,
+    #[snafu(display("'{key}' can't change while the process runs; put it back, or restart the process"))]
+    Fixed { key: String },
     #[snafu(display("unsafe times: {why}; {remedy}"))]
     Unsafe { why: String, remedy: String },
 }
@@ -36,9 +39,12 @@
     pub addr: String,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Startup {
+    /// The file it was read from.
+    #[serde(skip)]
+    pub path: PathBuf,
     pub cluster: String,
     pub id: String,
     pub zone: String,
@@ -100,7 +106,7 @@
 }
 
 /// All in milliseconds but `drift_percent`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Times {
     pub pull: u64,
@@ -141,7 +147,7 @@
     }
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
     /// Bytes of bodies a store holds, on disk.
@@ -260,6 +266,7 @@
     pub fn parse(text: &str, path: &Path) -> Result<Startup, StartupError> {
         let given: serde_json::Value = serde_json::from_str(text).context(FaultySnafu { path })?;
         let mut startup: Startup = serde_json::from_str(text).context(FaultySnafu { path })?;
+        startup.path = path.to_path_buf();
         if let Some(limits) = startup.limits {
             limits.bound(&mut startup, &given);
         }
--- a/crates/shell/tests/front.rs
+++ b/crates/shell/tests/front.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// Takes every request for one that seeks its path, and answers how many
 /// bytes came with it; `/away` needs no core.
@@ -38,7 +39,10 @@
     let listener = front::bind(&f).unwrap();
     let at = listener.local_addr().unwrap();
     let leaving = Leaving::default();
-    tokio::spawn(front::serve(listener, f, desk.clone(), intake, leaving.clone()));
+    let text = r#"{"cluster":"c","id":"proxy-1","zone":"z","listen":"127.0.0.1:1"}"#;
+    let startup = Startup { intake, ..Startup::parse(text, "s".as_ref()).unwrap() };
+    let settings = watch::Sender::new(startup);
+    tokio::spawn(front::serve(listener, f, desk.clone(), settings.subscribe(), leaving.clone()));
     Room { at, desk, events, leaving }
 }
 
