--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum StartupError {
     #[snafu(display("the startup file {} can't be read: {source}; name an existing file with --startup", path.display()))]
     Missing { path: PathBuf, source: std::io::Error },
@@ -19,10 +20,14 @@
     WrongKind { id: String, kind: String },
     #[snafu(display("'{key}' is missing; this program needs it"))]
     Needed { key: String },
-    #[snafu(display("'seeds' names {count} daemons; name the three placement daemons"))]
+    #[snafu(display(
+        "'seeds' names {count} daemons; name the three placement daemons, or with 'speech' \"platform\" 1 to 3 of them"
+    ))]
     Seeds { count: usize },
     #[snafu(display("'fronts' serve the platform's words; set 'speech' to \"platform\", or leave them out"))]
     Fronts,
+    #[snafu(display("'{key}' can't change while the process runs; put it back, or restart the process"))]
+    Fixed { key: String },
     #[snafu(display("unsafe times: {why}; {remedy}"))]
     Unsafe { why: String, remedy: String },
 }
@@ -34,9 +39,12 @@
     pub addr: String,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Startup {
+    /// The file it was read from.
+    #[serde(skip)]
+    pub path: PathBuf,
     pub cluster: String,
     pub id: String,
     pub zone: String,
@@ -105,7 +113,7 @@
 }
 
 /// All in milliseconds but `drift_percent`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Times {
     pub pull: u64,
@@ -146,7 +154,7 @@
     }
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
     /// Bytes of bodies a store holds, on disk.
@@ -265,6 +273,7 @@
     pub fn parse(text: &str, path: &Path) -> Result<Startup, StartupError> {
         let given: serde_json::Value = serde_json::from_str(text).context(FaultySnafu { path })?;
         let mut startup: Startup = serde_json::from_str(text).context(FaultySnafu { path })?;
+        startup.path = path.to_path_buf();
         if let Some(limits) = startup.limits {
             limits.bound(&mut startup, &given);
         }
