--- a/programs/tests/templates.rs
+++ b/programs/tests/templates.rs
@@ -11,7 +11,7 @@
     ("agent", env!("CARGO_BIN_EXE_dahliawick-agent")),
 ];
 
-const GAPS: [(&str, &str); 13] = [
+const GAPS: [(&str, &str); 14] = [
     ("{{nodeName}}", "machine-1"),
     ("{{ipAddress}}", "10.1.0.40"),
     ("{{zone}}", "z1"),
@@ -25,6 +25,7 @@
     ("{{limits.diskMb}}", "310"),
     ("{{limits.maxFds}}", "4100"),
     ("{{cloudApi.address}}", "10.200.0.70:8065"),
+    ("{{cloudApi.ratePerS}}", "40"),
 ];
 
 fn filled(kind: &str, seeds: &[&str], bootstrap: bool) -> String {
