--- a/crates/placement/src/primary/reach.rs
+++ b/crates/placement/src/primary/reach.rs
@@ -37,7 +37,8 @@
     /// Whether a claim of this duty is to be believed. A zone need not be
     /// listed (yet), so that a take-over finds all that is held.
     pub(super) fn calls_for(&self, duty: &Duty) -> bool {
-        self.duties.contains(duty) || self.rules.spool > 0 && matches!(duty, Duty::Reach(_))
+        let part = || home_of(duty).is_some_and(|z| Duty::of_zone(&z).any(|d| d == *duty));
+        self.duties.contains(duty) || self.rules.spool > 0 && part()
     }
     /// The duties there are, with those of reach that anyone tells of.
     pub(super) fn known_duties(&self) -> BTreeSet<Duty> {
--- a/crates/placement/src/primary/revise.rs
+++ b/crates/placement/src/primary/revise.rs
@@ -1,6 +1,6 @@
 //! Charters that carry their operator's own number.
 use super::asks::{faulty, wrong};
-use super::{done, Pending};
+use super::{done, Pending, COMMIT_MAX};
 use crate::prelude::*;
 use serde_json::json;
 
@@ -61,11 +61,7 @@
         };
         let mut c = read.map_err(Unfit::Wrong)?;
         self.settle(&mut c, now)?;
-        if c.revision == 0 {
-            let fault = Fault::new("revision", "0 is no number of a charter", "number it from 1 on, above the one in force");
-            return Err(Unfit::Wrong(CharterError::Faulty { faults: vec![fault] }));
-        }
-        self.fit(&c).map_err(Unfit::Wrong)?;
+        self.fit(&c, true).map_err(Unfit::Wrong)?;
         canonical(&c).map_err(Unfit::Wrong)
     }
 
@@ -113,8 +109,8 @@
 
 pub(super) fn canonical(c: &Charter) -> Result<String, CharterError> {
     let json = serde_json::to_string(c).map_err(|source| CharterError::Unreadable { source })?;
-    if json.len() > CHARTER_MAX {
-        return Err(CharterError::Large { size: json.len() });
+    if json.len() > COMMIT_MAX {
+        return Err(CharterError::Large { size: json.len(), most: COMMIT_MAX });
     }
     Ok(json)
 }
--- /dev/null
+++ b/crates/placement/tests/fleet/mod.rs
@@ -0,0 +1,323 @@
+//! Three placement cores and the stores and deliveries around them, driven by
+//! steps alone: words arrive at once, saves end at once, no clock is read.
+#![allow(dead_code)]
+use dw_election::prelude::Item as LogItem;
+pub use dw_placement::prelude::*;
+pub use serde_json::{json, Value};
+pub const REACHES: usize = dw_types::id::REACHES as usize;
+use std::collections::VecDeque as Queue;
+
+/// Between two steps of time.
+const STEP: Span = Span::millis(50);
+/// Between two pulls.
+const PULL: Span = Span::millis(400);
+
+/// A store or a delivery: holds what it is granted while it is renewed.
+pub struct Fake {
+    pub me: Member,
+    pub held: BTreeMap<Duty, (Epoch, Time)>,
+    pub shed: BTreeSet<Duty>,
+    gave: Vec<(Duty, Epoch)>,
+    /// Attempts are in hand: nothing is given up.
+    pub busy: bool,
+    pub unheard: Vec<Duty>,
+    heard: (Term, Time),
+    have: Vector,
+    due: Time,
+    pub news: Vec<Item>,
+}
+
+pub struct Fleet {
+    pub now: Time,
+    pub cores: BTreeMap<Daemon, Placement>,
+    disks: BTreeMap<Daemon, BTreeMap<String, Bytes>>,
+    pub fakes: BTreeMap<Daemon, Fake>,
+    /// Cores that hear nothing and are heard by nobody.
+    pub cut: BTreeSet<Daemon>,
+    queue: Queue<(Daemon, Event)>,
+    pub told: BTreeMap<u64, Verdict>,
+    pub calls: Vec<(Time, Daemon, CallId, Call)>,
+    pub platform: String,
+    pub rate: f64,
+    next: u64,
+}
+
+pub fn daemon(name: &str) -> Daemon {
+    Daemon(name.to_string())
+}
+
+pub fn member(name: &str, zone: &str) -> Member {
+    Member {
+        id: daemon(name),
+        zone: Zone(zone.to_string()),
+        addr: format!("{name}:1"),
+        http: format!("{name}:80"),
+        life: Mark(1),
+        disk: Mark(hash_of(name.as_bytes())),
+    }
+}
+
+impl Fleet {
+    /// Three placement cores, founded, and nothing else.
+    pub fn new() -> Fleet {
+        Fleet::listing("", 0.0)
+    }
+    pub fn listing(platform: &str, rate: f64) -> Fleet {
+        let mut f = Fleet {
+            now: Time(1_000_000),
+            cores: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            fakes: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            queue: Queue::new(),
+            told: BTreeMap::new(),
+            calls: Vec::new(),
+            platform: platform.to_string(),
+            rate,
+            next: 1,
+        };
+        for n in 1..=3 {
+            f.start(&daemon(&format!("placement-{n}")), true);
+        }
+        f
+    }
+    /// A fleet of three zones with a store and a delivery in each, served by
+    /// a primary.
+    pub fn whole() -> Fleet {
+        let mut f = Fleet::new();
+        f.stores(3);
+        for n in 1..=3 {
+            f.add(&format!("delivery-{n}"), &format!("z{n}"));
+        }
+        f.until(8_000, |f| f.primary().is_some_and(|d| f.cores[&d].office == Office::Serving));
+        f.run(4_000);
+        f
+    }
+    pub fn stores(&mut self, count: usize) {
+        for n in 1..=count {
+            self.add(&format!("store-{n}"), &format!("z{}", (n - 1) % 3 + 1));
+        }
+    }
+    pub fn start(&mut self, id: &Daemon, found: bool) {
+        let names = (1..=3).map(|n| daemon(&format!("placement-{n}")));
+        let startup = Startup {
+            me: member(id.as_str(), &id.as_str().replace("placement-", "z")),
+            siblings: names.filter(|d| d != id).collect(),
+            terms: Terms::default(),
+            election: ElectionPace::default(),
+            window: Span::millis(1000),
+            hold: Span::millis(3200),
+            charter_lease: Span::millis(2500),
+            platform: self.platform.clone(),
+            poll: Span::millis(1000),
+            paged: !self.platform.is_empty(),
+            list_rate: self.rate,
+            seed: hash_of(id.as_str().as_bytes()),
+        };
+        let files = self.disks.entry(id.clone()).or_default().iter().map(|(n, b)| (n.clone(), b.clone())).collect();
+        let mark = Mark(hash_of(format!("disk {id}").as_bytes()));
+        let (core, out) = Placement::new(startup, files, mark, found, self.now);
+        self.cores.insert(id.clone(), core);
+        self.obey(id, out);
+    }
+    pub fn add(&mut self, name: &str, zone: &str) {
+        let due = self.now + Span(hash_of(name.as_bytes()) % PULL.0);
+        let one = Fake {
+            me: member(name, zone),
+            held: BTreeMap::new(),
+            shed: BTreeSet::new(),
+            gave: Vec::new(),
+            busy: false,
+            unheard: Vec::new(),
+            heard: (Term(0), Time(0)),
+            have: Vector::default(),
+            due,
+            news: Vec::new(),
+        };
+        self.fakes.insert(daemon(name), one);
+    }
+    pub fn primary(&self) -> Option<Daemon> {
+        let acts = |d: &&Daemon| !self.cut.contains(*d) && self.cores[*d].election.may_act(self.now);
+        self.cores.keys().find(acts).cloned()
+    }
+    pub fn standby(&self) -> Daemon {
+        let primary = self.primary();
+        self.cores.keys().find(|d| Some(*d) != primary.as_ref()).cloned().unwrap()
+    }
+    fn obey(&mut self, id: &Daemon, out: Vec<Effect>) {
+        for e in out {
+            match e {
+                Effect::Say(to, _) if self.cut.contains(id) || self.cut.contains(&to) => {}
+                Effect::Say(to, msg) if self.cores.contains_key(&to) => {
+                    self.queue.push_back((to, Event::Hear { from: id.clone(), msg }));
+                }
+                Effect::Say(to, Msg::News { asked, term, items, grants, .. }) => self.news(&to, asked, term, items, grants),
+                Effect::Save { n, name, bytes } => {
+                    self.disks.entry(id.clone()).or_default().insert(name, bytes);
+                    self.queue.push_back((id.clone(), Event::Saved(n)));
+                }
+                Effect::Remove(name) => {
+                    self.disks.entry(id.clone()).or_default().remove(&name);
+                }
+                Effect::Tell(ask, v) => {
+                    assert!(self.told.insert(ask.0, v).is_none(), "ask {} was answered twice", ask.0);
+                }
+                Effect::Call(call, what) => self.calls.push((self.now, id.clone(), call, what)),
+                _ => {}
+            }
+        }
+    }
+    fn news(&mut self, to: &Daemon, asked: Time, term: Term, items: Vec<(Version, Item)>, grants: Vec<Grant>) {
+        let Some(f) = self.fakes.get_mut(to) else { return };
+        f.heard = (term, asked);
+        for (v, item) in items {
+            if f.have.raise(item.source(), v) {
+                f.news.push(item);
+            }
+        }
+        let end = Terms::default().holder_end(asked);
+        f.shed = grants.iter().filter(|g| g.shed).map(|g| g.duty.clone()).collect();
+        for g in grants {
+            if !f.gave.contains(&(g.duty.clone(), g.epoch)) {
+                f.held.insert(g.duty, (g.epoch, end));
+            }
+        }
+        if f.busy {
+            return;
+        }
+        for duty in f.shed.clone() {
+            if let Some((epoch, _)) = f.held.remove(&duty) {
+                f.gave.push((duty, epoch));
+            }
+        }
+    }
+    fn pull(&mut self, id: &Daemon) {
+        let now = self.now;
+        let Some(f) = self.fakes.get_mut(id).filter(|f| now >= f.due) else { return };
+        f.due = now + PULL;
+        f.held.retain(|_, x| now < x.1);
+        let claims = f.held.iter().map(|(d, x)| Claim { duty: d.clone(), epoch: x.0, checkpoint: false }).collect();
+        let report = Report { claims, gave: f.gave.clone(), unheard: f.unheard.clone(), ..Report::default() };
+        let need = |f: &Fake| Msg::Need {
+            asked: now,
+            heard: f.heard,
+            have: f.have.clone(),
+            me: f.me.clone(),
+            report: Some(report.clone()),
+        };
+        let msg = need(f);
+        for core in self.cores.keys().filter(|d| !self.cut.contains(*d)) {
+            self.queue.push_back((core.clone(), Event::Hear { from: id.clone(), msg: msg.clone() }));
+        }
+    }
+    pub fn step(&mut self, id: &Daemon, event: Event) {
+        self.queue.push_back((id.clone(), event));
+        self.drain();
+    }
+    /// One event without what follows from it.
+    pub fn step_alone(&mut self, id: &Daemon, event: Event) {
+        let now = self.now;
+        let Some(core) = self.cores.get_mut(id) else { return };
+        let out = core.step(event, now);
+        self.obey(id, out);
+    }
+    pub fn drain(&mut self) {
+        while let Some((id, event)) = self.queue.pop_front() {
+            self.step_alone(&id, event);
+        }
+    }
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + Span::millis(ms);
+        while self.now < end {
+            self.now += STEP;
+            for id in self.cores.keys().cloned().collect::<Vec<_>>() {
+                self.step(&id, Event::Clock);
+            }
+            for id in self.fakes.keys().cloned().collect::<Vec<_>>() {
+                self.pull(&id);
+                self.drain();
+            }
+        }
+    }
+    /// Runs until it is so; panics when it takes longer than `ms`. Returns
+    /// how long it took.
+    pub fn until(&mut self, ms: u64, so: impl Fn(&Fleet) -> bool) -> u64 {
+        let begun = self.now;
+        while !so(self) {
+            assert!(self.now.since(begun) < Span::millis(ms), "not so after {ms} ms");
+            self.run(50);
+        }
+        self.now.since(begun).as_millis()
+    }
+    /// Hands an order to a daemon; its number, under which it is answered.
+    pub fn send(&mut self, to: &Daemon, ask: Ask) -> u64 {
+        let n = self.next;
+        self.next += 1;
+        self.step(to, Event::Ask(AskId(n), ask));
+        n
+    }
+    /// Asks the primary and waits for its verdict.
+    pub fn ask(&mut self, ask: Ask) -> Verdict {
+        let to = self.primary().expect("a primary");
+        let n = self.send(&to, ask);
+        self.run(300);
+        self.told.get(&n).cloned().expect("a verdict")
+    }
+    pub fn put(&mut self, base: u64, json: &Value) -> Verdict {
+        self.ask(Ask::Revise { base, json: json.to_string(), patch: false })
+    }
+    pub fn patch(&mut self, base: u64, json: &Value) -> Verdict {
+        self.ask(Ask::Revise { base, json: json.to_string(), patch: true })
+    }
+    /// Who holds each duty of reach, by their own word.
+    pub fn reaches(&self) -> BTreeMap<Duty, Daemon> {
+        let mut out = BTreeMap::new();
+        for (id, f) in &self.fakes {
+            for (duty, x) in f.held.iter().filter(|(d, _)| matches!(d, Duty::Reach(_))) {
+                if self.now < x.1 {
+                    let before = out.insert(duty.clone(), id.clone());
+                    assert!(before.is_none(), "{duty} is held by {id} and {before:?}");
+                }
+            }
+        }
+        out
+    }
+    pub fn holders(&self, zone: &str) -> Vec<Daemon> {
+        let all = self.reaches();
+        Duty::of_zone(&Zone(zone.into())).filter_map(|d| all.get(&d).cloned()).collect()
+    }
+    /// Loses a placement core with its memory; its folder stays.
+    pub fn kill(&mut self, id: &Daemon) {
+        self.cores.remove(id);
+    }
+    /// Bytes in each placement daemon's folder.
+    pub fn folders(&self) -> Vec<(Daemon, usize)> {
+        self.disks.iter().map(|(d, files)| (d.clone(), files.values().map(Bytes::len).sum())).collect()
+    }
+    /// Charters that stand in the log of the primary, done or not.
+    pub fn charters_logged(&self) -> usize {
+        let files = &self.disks[&self.primary().expect("a primary")];
+        let stored: Stored<Order> = decode(files.values().last().expect("a file")).expect("readable");
+        stored.log.iter().filter(|e| matches!(&e.item, LogItem::Do(Order::Charter { .. }))).count()
+    }
+    pub fn committed(&self) -> u64 {
+        self.cores.values().map(|c| c.election.commit()).max().unwrap_or(0)
+    }
+}
+
+pub fn route(name: &str, prefix: &str) -> Value {
+    json!({"name": name, "host": "lode17.example", "prefix": prefix, "service": "huvo11a",
+           "attempts": 4, "attempt_ms": 2500, "doc": format!("{{\"name\":\"{name}\"}}")})
+}
+
+pub fn charter(revision: u64, routes: &[Value]) -> Value {
+    json!({"revision": revision, "routes": routes, "services": [{"name": "huvo11a", "slots": 6, "doc": "{}"}], "doc": "as sent"})
+}
+
+pub fn first() -> Value {
+    charter(7, &[route("r-vk9m68k", "/vobo680/"), route("r-7b2ex5w", "/noda141/")])
+}
+
+pub fn said(v: &Verdict) -> Value {
+    serde_json::from_str(&v.json).unwrap()
+}
