--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -241,9 +241,9 @@
             (self.give_up <= self.second_way, "times.give_up is not over times.second_way", "leave time for the second way"),
             (self.give_up > 2000, "times.give_up is over 2000", "a proxy must tell a keeper's word within 2 s; use 2000 or less"),
             (
-                self.lease * (100 - self.drift_percent.min(100)) / 100 < 2100 + self.pull,
+                self.lease * (100 - self.drift_percent.min(100)) / 100 < self.give_up + 100 + self.pull,
                 "times.lease leaves no time in which a refusal is certain",
-                "let a lease less its margin be 2100 ms longer than times.pull",
+                "let a lease less its margin be 100 ms longer than times.give_up and times.pull together",
             ),
             (
                 self.budget() > 12_000,
