Routed messages on simulated time, and a checker for them

The simulated house now has a charter with routes and services set by revisions, workers with names of their own, a list by pages, fixed addresses with a rate, those called back, and callers who post, seek and read bytes at any proxy. One module per rule judges only what these saw.

--- /dev/null
+++ b/crates/sim/src/mail.rs
@@ -0,0 +1,134 @@
+//! Callers of routed messages and the operator of their charters, as small
+//! states moved by the world's events.
+use crate::prelude::*;
+use serde_json::{json, Value};
+
+pub const HOST: &str = "parcels.example";
+
+/// How a script wants routed messages.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Routing {
+    /// Keys of the ordered routes.
+    pub keys: u64,
+    /// Delayed messages, in a hundred unordered ones.
+    pub delayed: u64,
+}
+
+impl Default for Routing {
+    fn default() -> Routing {
+        Routing { keys: 300, delayed: 10 }
+    }
+}
+
+/// A message its caller still tries to hand in.
+#[derive(Clone, Debug)]
+pub struct Trying {
+    pub path: String,
+    pub key: String,
+    pub body: Bytes,
+    pub delay: Span,
+    pub desk: String,
+    /// The zone of its caller.
+    pub zone: u64,
+    /// No further try after this.
+    pub until: Time,
+    pub tries: u32,
+    /// Sent straight to this proxy, to see which charter it obeys.
+    pub trial: Option<Daemon>,
+    /// The sending under way.
+    pub post: usize,
+}
+
+/// An operator's order that is sent until it gets a clear answer.
+#[derive(Clone, Debug)]
+pub struct Ordering {
+    pub ask: Ask,
+    pub what: What,
+    /// Which placement daemon is asked next.
+    pub to: u64,
+    pub tries: u32,
+    pub over: bool,
+    /// The sending that is awaited.
+    pub awaited: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// A charter, by its place among those stated.
+    Charter(usize),
+    Empty(String),
+    Restore(String),
+    Show,
+}
+
+/// Invariant: of `names` there is one for each message that was accepted.
+#[derive(Default)]
+pub struct Mail {
+    pub on: bool,
+    pub routing: Routing,
+    pub tries: Vec<Trying>,
+    pub orders: Vec<Ordering>,
+    pub names: BTreeMap<usize, String>,
+    /// Probes in a row that each proxy missed.
+    pub missed: BTreeMap<Daemon, u32>,
+    /// The charter the operator holds for the newest.
+    pub charter: Value,
+    pub revision: u64,
+    pub acked: u64,
+    /// Routes added during the run, by name.
+    pub extra: Vec<String>,
+    pub changes: u64,
+    pub pace: Option<Span>,
+    pub read_back: bool,
+    /// Messages whose end has been told to someone.
+    pub shut: BTreeSet<usize>,
+    pub calm: u32,
+    /// Told to end in order.
+    pub leaving: BTreeSet<Daemon>,
+    /// Down since when, unplanned.
+    pub down: BTreeMap<Daemon, Time>,
+    /// Trouble that lasts, by its name: since when, and on whom.
+    pub open: BTreeMap<String, (Time, Option<String>)>,
+    pub list_since: Option<Time>,
+}
+
+fn route(name: &str, prefix: &str, service: &str, attempt: u64, more: Value) -> Value {
+    let mut r = json!({"name": name, "host": HOST, "prefix": prefix, "service": service, "attempts": 4,
+        "attempt_ms": attempt, "worth_ms": 90_000, "priority": 2, "verdict_ms": 120, "start_ms": 1200, "doc": ""});
+    if let (Some(r), Some(more)) = (r.as_object_mut(), more.as_object()) {
+        r.extend(more.clone());
+    }
+    r
+}
+
+pub fn extra_route(n: u64) -> Value {
+    route(&format!("extra-{n}"), &format!("/extra/{n}/"), "sheets", 1500 + n, json!({"attempts": 3}))
+}
+
+/// The charter of a house that only passes routed messages on.
+pub fn routed_charter() -> Value {
+    let services: Vec<Value> = TRADES
+        .iter()
+        .map(|t| {
+            let address =
+                if t.listed == 0 { format!("10.9.1.{}:80", t.name.rsplit('-').next().unwrap_or("1")) } else { String::new() };
+            json!({"name": t.name, "warm_ms": t.cold.as_millis().max(1), "address": address, "rate": t.rate,
+                "cold_rate": t.cold_rate, "connections": 100, "health": "/health", "dedup": t.dedup})
+        })
+        .collect();
+    let mut routes = vec![
+        route("bulk", "/bulk/", "sheets", 2500, json!({"call_back": true})),
+        route("turns", "/turns/", "records", 1000, json!({"ordered": true, "attempts": 6, "priority": 1})),
+        route("steps", "/steps/", "ledgers", 1200, json!({"ordered": true, "attempts": 6, "priority": 1})),
+    ];
+    for n in 1..=3 {
+        routes.push(route(
+            &format!("push-{n}"),
+            &format!("/push/{n}/"),
+            &format!("site-{n}"),
+            2000,
+            json!({"call_back": n == 1}),
+        ));
+    }
+    json!({"revision": 0, "routes": routes, "services": services})
+}
--- a/crates/sim/src/world/acts.rs
+++ b/crates/sim/src/world/acts.rs
@@ -36,9 +36,15 @@
             }
         };
         match act {
-            Act::Kill(_) | Act::Wipe(_) | Act::Off(_) | Act::AllOff | Act::Start(_) | Act::On(_) | Act::AllOn => {
-                self.check.fault(now, now)
-            }
+            Act::Kill(_)
+            | Act::Abort(_)
+            | Act::Leave(_)
+            | Act::Wipe(_)
+            | Act::Off(_)
+            | Act::AllOff
+            | Act::Start(_)
+            | Act::On(_)
+            | Act::AllOn => self.check.fault(now, now),
             Act::Freeze(w) => lasts(format!("freeze {w}"), true),
             Act::Thaw(w) => {
                 let all: Vec<String> = self.broken.keys().filter(|k| k.starts_with("freeze")).cloned().collect();
@@ -72,11 +78,24 @@
         let now = self.now;
         self.check.act(now);
         self.judge(&act, now);
+        self.note_trouble(&act);
+        if self.mail.on && self.routed_act(&act) {
+            return;
+        }
         match act {
             Act::Kill(w) => {
                 let d = self.name(&w);
                 self.kill(&d);
             }
+            Act::Abort(w) => {
+                let d = self.name(&w);
+                self.abort(&d);
+            }
+            Act::Leave(w) => {
+                let d = self.name(&w);
+                self.leave(&d);
+            }
+            Act::Dark(..) | Act::Light(_) | Act::Release(_) | Act::Change | Act::Changes(_) | Act::Twins => {}
             Act::Start(w) if w == "all" => self.act(Act::AllOn),
             Act::Start(w) => self.start(&Daemon(w), false),
             Act::Wipe(w) => {
--- a/crates/sim/src/world/calls.rs
+++ b/crates/sim/src/world/calls.rs
@@ -6,6 +6,9 @@
         let Some(n) = self.nodes.get(id) else { return };
         let life = n.life;
         let limit = n.real(call.limit);
+        if call.errand != Errand::Plain {
+            return self.errand(id, life, call_id, call, limit);
+        }
         let worker = Outside::at(&call.addr);
         self.calls.insert((id.clone(), life, call_id));
         let there = worker == "platform" || self.net.open(id.as_str(), &worker);
@@ -24,6 +27,12 @@
         if !self.calls.remove(&(node.clone(), life, id)) || self.nodes.get(node).is_none_or(|n| n.life != life) {
             return;
         }
+        let answered = matches!(reply, Reply::Ran { .. });
+        if let (Some((post, run)), true) = (self.floor.answers.remove(&(node.clone(), life, id)), answered) {
+            if self.nodes.get(node).is_some_and(|n| n.core.is_some()) {
+                self.seen.posts[post].runs[run].read = Some(self.now);
+            }
+        }
         self.step(node, Event::Back(id, reply));
     }
 
--- a/crates/sim/src/world/processes.rs
+++ b/crates/sim/src/world/processes.rs
@@ -40,6 +40,20 @@
         }
     }
 
+    /// Killed, but what its disk had under way may have landed.
+    pub fn abort(&mut self, id: &Daemon) {
+        let Some(n) = self.nodes.get_mut(id) else { return };
+        let landed = self.rng.usize(..=n.disk.jobs.len());
+        for job in n.disk.jobs.drain(..).take(landed) {
+            match job {
+                Job::Save(_, name, bytes) => _ = n.disk.durable.insert(name, bytes),
+                Job::Remove(name) => _ = n.disk.durable.remove(&name),
+                Job::Load(..) => {}
+            }
+        }
+        self.kill(id);
+    }
+
     pub fn freeze(&mut self, id: &Daemon) {
         if let Some(n) = self.nodes.get_mut(id) {
             n.frozen = true;
@@ -100,7 +114,8 @@
                     self.say(format!("{id} 304 {text}"));
                 }
                 Effect::Note(note, text) => self.say(format!("{id} {} {}: {text}", note.number(), note.what())),
-                Effect::Learn(..) | Effect::Zone(..) | Effect::Gone => {}
+                Effect::Gone => self.goes(id),
+                Effect::Learn(..) | Effect::Zone(..) => {}
             }
         }
     }
--- a/crates/sim/src/world/sending.rs
+++ b/crates/sim/src/world/sending.rs
@@ -41,6 +41,10 @@
             }
             Asked::Look(l) => self.looked(l, v),
             Asked::Operator { base, what } => self.operated(base, what, v),
+            Asked::Ready(d) => self.probed(d, v),
+            Asked::Post(n, post) => self.posted(n, post, v),
+            Asked::Seek { post, body } => self.sought(post, body, v),
+            Asked::Order(n, tries) => self.ordered(n, tries, v),
         }
     }
 
