--- a/crates/sim/src/world/posting.rs
+++ b/crates/sim/src/world/posting.rs
@@ -149,6 +149,7 @@
     }
 
     pub(super) fn posted(&mut self, n: usize, post: usize, v: Option<Verdict>) {
+        let told = v.as_ref().map(|v| format!("{} {}", v.code, v.json)).unwrap_or_default();
         let word = match v.as_ref().map(|v| v.code) {
             Some(202) => PostWord::Accepted,
             Some(c @ (400 | 404 | 408 | 413 | 421 | 429 | 503)) => PostWord::Refused(c),
@@ -158,7 +159,7 @@
         p.word = Some((self.now, word));
         let (id, took) = (p.id.clone(), self.now.since(p.sent));
         if self.loud {
-            self.say(format!("{id} told {word:?} after {took:?}"));
+            self.say(format!("{id} told {word:?} after {took:?} {told}"));
         }
         match (word, v) {
             (PostWord::Accepted, Some(v)) => {
@@ -170,7 +171,7 @@
                     self.soon(soon, Ev::Routed(Turn::Seek { post, follow: 4 }));
                 }
             }
-            (PostWord::Refused(c), Some(v)) if matches!(c, 408 | 421 | 429 | 503) => {
+            (PostWord::Refused(408 | 421 | 429 | 503), Some(v)) => {
                 self.count("refused", 1);
                 let after = v.after.unwrap_or(Span::millis(200)).0.max(50_000);
                 self.post_again(n, Span(after));
