--- a/crates/sim/src/world/routed.rs
+++ b/crates/sim/src/world/routed.rs
@@ -256,11 +256,8 @@
                 self.floor.list_down = x == "down";
                 self.floor.list_empty = x == "empty";
             }
-            Act::Crash(w) | Act::Revive(w) if w.starts_with("desk") => {
-                let down = matches!(act, Act::Crash(_));
-                self.shut_desk(&w, down);
-                self.floor.receivers.entry(w).or_default().down = down;
-            }
+            Act::Crash(w) if w.starts_with("desk") => self.receiver(&w, |r| r.down = true),
+            Act::Revive(w) if w.starts_with("desk") => self.receiver(&w, |r| r.down = false),
             Act::Crash(w) => {
                 let name = match self.floor.lives.contains_key(&w) {
                     true => w,
@@ -269,14 +266,8 @@
                 };
                 self.worker_crashes(&name);
             }
-            Act::Fail(w, n) if w.starts_with("desk") => {
-                self.shut_desk(&w, n > 0);
-                self.floor.receivers.entry(w).or_default().fail = n;
-            }
-            Act::Slow(w, s) if w.starts_with("desk") => {
-                self.shut_desk(&w, s > Span::ZERO);
-                self.floor.receivers.entry(w).or_default().slow = s;
-            }
+            Act::Fail(w, n) if w.starts_with("desk") => self.receiver(&w, |r| r.fail = n),
+            Act::Slow(w, s) if w.starts_with("desk") => self.receiver(&w, |r| r.slow = s),
             Act::Fail(w, n) => self.spell(&w).fail = Some(n),
             Act::Lose(w, n) => self.spell(&w).lose = n,
             Act::Slow(w, s) => self.spell(&w).slow = s,
@@ -286,13 +277,18 @@
         true
     }
 
-    fn shut_desk(&mut self, desk: &str, shut: bool) {
+    /// Changes a receiver, and notes from when to when it is not well.
+    fn receiver(&mut self, desk: &str, change: impl Fn(&mut Receiver)) {
         let now = self.now;
         let n = desk.rsplit('-').next().unwrap_or("1");
+        let r = self.floor.receivers.entry(desk.to_string()).or_default();
+        change(r);
+        let ill = r.down || r.fail > 0 || r.slow > Span::ZERO;
         let all = self.seen.shut.entry(format!("10.9.2.{n}:80")).or_default();
-        all.iter_mut().for_each(|s| _ = s.1.get_or_insert(now));
-        if shut {
-            all.push((now, None));
+        match (ill, all.last().is_some_and(|s| s.1.is_none())) {
+            (true, false) => all.push((now, None)),
+            (false, true) => all.iter_mut().for_each(|s| _ = s.1.get_or_insert(now)),
+            _ => {}
         }
     }
 }
