--- a/crates/sim/src/world/acts.rs
+++ b/crates/sim/src/world/acts.rs
@@ -137,6 +137,12 @@
                     n.offset = was.0.saturating_sub(n.clock(now).0);
                 }
             }
+            Act::Wall(w, off) => {
+                let d = self.name(&w);
+                if let Some(n) = self.nodes.get_mut(&d) {
+                    n.wall = off;
+                }
+            }
             Act::Disk(w, s) => {
                 let d = self.name(&w);
                 if let Some(n) = self.nodes.get_mut(&d) {
--- a/crates/sim/src/world/processes.rs
+++ b/crates/sim/src/world/processes.rs
@@ -18,7 +18,8 @@
         n.disk.jobs.clear();
         n.disk.busy = false;
         let files = n.disk.durable.iter().map(|(k, v)| (k.clone(), v.clone())).collect();
-        let (core, first) = build(id, n.life, files, found, seed, &self.bounds, n.clock(now), DAY + now.0);
+        let (core, first) =
+            build(id, n.life, files, found, seed, &self.bounds, n.clock(now), (DAY + now.0).saturating_add_signed(n.wall));
         n.core = Some(core);
         let life = n.life;
         self.effects(id, first);
