--- a/crates/checker/src/routed.rs
+++ b/crates/checker/src/routed.rs
@@ -3,6 +3,7 @@
 use crate::prelude::*;
 
 mod allowed;
+mod answered;
 mod backs;
 mod charters;
 mod cold;
@@ -70,7 +71,7 @@
 
 /// Every rule's name and its watch.
 type Watch = fn(&Seen, &RoutedLimits, Time) -> Vec<String>;
-const WATCHES: [(&str, Watch); 13] = [
+const WATCHES: [(&str, Watch); 15] = [
     ("refused", refused::watch),
     ("sent", sent::watch),
     ("allowed", allowed::watch),
@@ -84,6 +85,8 @@
     ("drained", drained::watch),
     ("emptied", emptied::watch),
     ("charters", charters::watch),
+    ("answered", answered::watch),
+    ("early", early::watch),
 ];
 
 /// Shown of one rule, at most.
@@ -92,7 +95,7 @@
 /// What breaks a rule, each with the rule's name before it.
 pub fn judge(seen: &Seen, limits: &RoutedLimits, now: Time) -> Vec<String> {
     let mut out = seen.flags.clone();
-    for (name, watch) in WATCHES.into_iter().chain([("early", early::watch as Watch)]) {
+    for (name, watch) in WATCHES {
         let bad = watch(seen, limits, now);
         let more = bad.len().saturating_sub(SHOWN);
         out.extend(bad.into_iter().take(SHOWN).map(|b| format!("{name}: {b}")));
--- a/crates/checker/src/routed/seen.rs
+++ b/crates/checker/src/routed/seen.rs
@@ -8,6 +8,8 @@
     /// It never runs; with the status.
     Refused(u16),
     Unknown,
+    /// The connection ended without an answer.
+    Broken,
 }
 
 /// How a run was over at its worker.
@@ -187,6 +189,8 @@
     pub shut: BTreeMap<String, Vec<(Time, Option<Time>)>>,
     /// From when on nothing more was sent by callers.
     pub stopped: Option<Time>,
+    /// Some machine tells the time of day wrongly.
+    pub days_apart: bool,
     /// When anything was done to workers, receivers or charters.
     pub acts: Vec<Time>,
     pub flags: Vec<String>,
@@ -252,6 +256,11 @@
     /// Ended by a worker's word, and when its sender read it.
     pub fn known_end(&self, p: &Post) -> Option<Time> {
         let read = |r: &&PostRun| matches!(r.over, Some((_, Over::Done(_) | Over::Never)));
-        p.runs.iter().filter(read).filter_map(|r| r.read).min()
+        let said = p.runs.iter().filter(read).filter_map(|r| r.read).min();
+        let failed = |r: &&PostRun| matches!(r.over, Some((_, Over::Failed)));
+        let mut given_up: Vec<Time> = p.runs.iter().filter(failed).filter_map(|r| r.read).collect();
+        given_up.sort();
+        let most = self.routes(&p.path).map(|r| r.attempts).max().unwrap_or(1).max(1) as usize;
+        said.into_iter().chain(given_up.get(most - 1).copied()).min()
     }
 }
--- a/crates/sim/src/world/posting.rs
+++ b/crates/sim/src/world/posting.rs
@@ -153,11 +153,17 @@
         let word = match v.as_ref().map(|v| v.code) {
             Some(202) => PostWord::Accepted,
             Some(c @ (400 | 404 | 408 | 413 | 421 | 429 | 503)) => PostWord::Refused(c),
-            _ => PostWord::Unknown,
+            Some(_) => PostWord::Unknown,
+            // Not its caller, who waits no longer.
+            None if self.seen.posts.get(post).is_some_and(|p| p.sent + WORD > self.now) => PostWord::Broken,
+            None => PostWord::Unknown,
         };
         let Some(p) = self.seen.posts.get_mut(post) else { return };
         p.word = Some((self.now, word));
         let (id, took) = (p.id.clone(), self.now.since(p.sent));
+        if word == PostWord::Accepted && took > Span::millis(120) {
+            self.count("accepted late", 1);
+        }
         if self.loud {
             self.say(format!("{id} told {word:?} after {took:?} {told}"));
         }
--- a/crates/sim/src/world/routed.rs
+++ b/crates/sim/src/world/routed.rs
@@ -199,6 +199,7 @@
             Act::Delay(s) => self.lasts("delay", None, *s > Span::ZERO),
             Act::Disk(d, s) => self.lasts(&format!("disk {d}"), Self::whom(d), *s > Span::ZERO),
             Act::Clock(..) => self.trouble(now, None, Sort::Struck),
+            Act::Wall(..) => self.seen.days_apart = true,
             Act::List(x) if x != "well" => self.mail.list_since = Some(now),
             Act::List(_) => {
                 if let Some(from) = self.mail.list_since.take() {
--- a/crates/sim/tests/routed.rs
+++ b/crates/sim/tests/routed.rs
@@ -362,3 +362,17 @@
     };
     caught("run 8s; at 2s changes 500ms", lost, "charters", "is read back");
 }
+
+#[test]
+fn a_connection_broken_off_at_a_planned_end_is_caught() {
+    // A proxy that was told to leave ends with the next request it reads.
+    let b: Breakage = |e, _| {
+        if matches!(e, Effect::Say(_, Msg::Carry { .. })) {
+            *e = Effect::Gone;
+        }
+        false
+    };
+    let script = parse("name broken\nroutes\nrate 60\nrun 10s\nat 4s leave proxy-1\nat 8s start proxy-1").unwrap();
+    let r = run(&script, 1, false, Some(b));
+    assert!(r.found.broken.iter().any(|b| b.starts_with("answered: ")), "{:?}", r.found.broken);
+}
