--- a/crates/sim/src/mail.rs
+++ b/crates/sim/src/mail.rs
@@ -12,11 +12,13 @@
     pub keys: u64,
     /// Delayed messages, in a hundred unordered ones.
     pub delayed: u64,
+    /// How long a message is worth a run.
+    pub worth: Span,
 }
 
 impl Default for Routing {
     fn default() -> Routing {
-        Routing { keys: 300, delayed: 10 }
+        Routing { keys: 300, delayed: 10, worth: Span::secs(90) }
     }
 }
 
@@ -77,6 +79,8 @@
     pub acked: u64,
     /// Routes added during the run, by name.
     pub extra: Vec<String>,
+    /// Numbers of routes that were taken out again.
+    pub taken_out: Vec<u64>,
     pub changes: u64,
     pub pace: Option<Span>,
     pub read_back: bool,
@@ -92,21 +96,25 @@
     pub list_since: Option<Time>,
 }
 
-fn route(name: &str, prefix: &str, service: &str, attempt: u64, more: Value) -> Value {
+fn route(name: &str, prefix: &str, service: &str, attempt: u64, worth: Span, more: Value) -> Value {
     let mut r = json!({"name": name, "host": HOST, "prefix": prefix, "service": service, "attempts": 4,
-        "attempt_ms": attempt, "worth_ms": 90_000, "priority": 2, "verdict_ms": 120, "start_ms": 1200, "doc": ""});
+        "attempt_ms": attempt, "worth_ms": worth.as_millis(), "priority": 2, "verdict_ms": 120, "start_ms": 1200, "doc": ""});
     if let (Some(r), Some(more)) = (r.as_object_mut(), more.as_object()) {
         r.extend(more.clone());
     }
     r
 }
 
-pub fn extra_route(n: u64) -> Value {
-    route(&format!("extra-{n}"), &format!("/extra/{n}/"), "sheets", 1500 + n, json!({"attempts": 3}))
+/// A route that comes and goes; every third one is ordered.
+pub fn extra_route(n: u64, worth: Span) -> Value {
+    let ordered = n.is_multiple_of(3);
+    let service = if ordered { "ledgers" } else { "sheets" };
+    let more = json!({"attempts": 3, "ordered": ordered, "call_back": !ordered});
+    route(&format!("extra-{n}"), &format!("/extra/{n}/"), service, 1500 + n, worth, more)
 }
 
 /// The charter of a house that only passes routed messages on.
-pub fn routed_charter() -> Value {
+pub fn routed_charter(worth: Span) -> Value {
     let services: Vec<Value> = TRADES
         .iter()
         .map(|t| {
@@ -117,9 +125,9 @@
         })
         .collect();
     let mut routes = vec![
-        route("bulk", "/bulk/", "sheets", 2500, json!({"call_back": true})),
-        route("turns", "/turns/", "records", 1000, json!({"ordered": true, "attempts": 6, "priority": 1})),
-        route("steps", "/steps/", "ledgers", 1200, json!({"ordered": true, "attempts": 6, "priority": 1})),
+        route("bulk", "/bulk/", "sheets", 2500, worth, json!({"call_back": true})),
+        route("turns", "/turns/", "records", 1000, worth, json!({"ordered": true, "attempts": 6, "priority": 1})),
+        route("steps", "/steps/", "ledgers", 1200, worth, json!({"ordered": true, "attempts": 6, "priority": 1})),
     ];
     for n in 1..=3 {
         routes.push(route(
@@ -127,6 +135,7 @@
             &format!("/push/{n}/"),
             &format!("site-{n}"),
             2000,
+            worth,
             json!({"call_back": n == 1}),
         ));
     }
--- a/crates/sim/src/world/posting.rs
+++ b/crates/sim/src/world/posting.rs
@@ -60,16 +60,20 @@
         let (path, key) = match n {
             0 if !self.mail.extra.is_empty() && self.rng.u64(..5) == 0 => {
                 let name = self.mail.extra[self.rng.usize(..self.mail.extra.len())].clone();
-                (format!("/extra/{}/x", name.rsplit('-').next().unwrap_or("0")), String::new())
+                let n = name.rsplit('-').next().unwrap_or("0").to_string();
+                let ordered = n.parse::<u64>().is_ok_and(|n| n.is_multiple_of(3));
+                (format!("/extra/{n}/x"), if ordered { skewed(self.rng.f64()) } else { String::new() })
             }
             0 => ("/bulk/2f".to_string(), String::new()),
             1 => ("/turns/a?b=c".to_string(), skewed(self.rng.f64())),
             2 => ("/steps/a".to_string(), skewed(self.rng.f64())),
             _ => (format!("/push/{}/in", self.rng.u64(1..=3)), String::new()),
         };
-        let delayed = key.is_empty() && self.rng.u64(..100) < self.mail.routing.delayed;
+        // Of ordered ones few, as those behind them wait too.
+        let share = self.mail.routing.delayed / if key.is_empty() { 1 } else { 5 };
+        let delayed = self.rng.u64(..100) < share;
         let delay = if delayed { Span::millis(self.rng.u64(500..4000)) } else { Span::ZERO };
-        let calls = n == 0 || path.starts_with("/push/1/");
+        let calls = n == 0 && key.is_empty() || path.starts_with("/push/1/");
         let desk = if calls { format!("10.9.2.{}:80", self.rng.u64(1..=DESKS)) } else { String::new() };
         let zone = self.rng.u64(1..=3);
         self.post(path, key, delay, desk, zone, None);
--- a/crates/sim/src/world/revising.rs
+++ b/crates/sim/src/world/revising.rs
@@ -137,7 +137,7 @@
 
     /// The first charter, which precedes the load.
     pub fn state_routes(&mut self) {
-        let mut c = routed_charter();
+        let mut c = routed_charter(self.mail.routing.worth);
         c["revision"] = json!(self.next_revision());
         for t in TRADES {
             self.seen.services.insert(t.name.to_string(), Pace { rate: t.rate, cold: t.cold_rate });
@@ -182,11 +182,17 @@
         self.mail.extra.clone_from(&names);
         self.mail.changes += 1;
         let new = self.mail.changes;
-        let mut gone = None;
+        let (mut gone, worth) = (None, self.mail.routing.worth);
         let part = match self.rng.u64(..4) {
-            0 | 1 => json!({"routes": [extra_route(new)]}),
+            0 if !self.mail.taken_out.is_empty() => {
+                // One that was taken out comes back under its old name.
+                let n = self.mail.taken_out.remove(0);
+                json!({"routes": [extra_route(n, worth)]})
+            }
+            0 | 1 => json!({"routes": [extra_route(new, worth)]}),
             2 if !names.is_empty() => {
                 let name = names[self.rng.usize(..names.len())].clone();
+                self.mail.taken_out.extend(name.rsplit('-').next().and_then(|n| n.parse::<u64>().ok()));
                 gone = Some(name.clone());
                 json!({"routes": [{"name": name, "remove": true}]})
             }
@@ -227,7 +233,8 @@
         for _ in 0..2 {
             self.mail.changes += 1;
             let kept = self.mail.charter.clone();
-            let part = json!({"revision": self.next_revision(), "routes": [extra_route(self.mail.changes)]});
+            let part =
+                json!({"revision": self.next_revision(), "routes": [extra_route(self.mail.changes, self.mail.routing.worth)]});
             self.revise(base, part, true, true);
             self.mail.charter = kept;
         }
