--- a/crates/sim/src/day.rs
+++ b/crates/sim/src/day.rs
@@ -102,6 +102,10 @@
     let started: Vec<Span> = w.seen.posts.iter().filter(|p| p.accepted().is_some()).filter_map(begun).collect();
     let late = started.iter().filter(|s| **s > Span::millis(1200)).count();
     w.count("begun late", late as u64);
-    w.count("longest until begun, ms", started.iter().max().map_or(0, |s| s.as_millis()));
+    let longest = started.iter().max().copied().unwrap_or_default();
+    w.count("longest until begun, ms", longest.as_millis());
+    if script.begun.is_some_and(|most| longest > most) {
+        found.broken.push(format!("one waited {longest:?} for its first run, at most {:?}", script.begun));
+    }
     Ran { seed, found, trace: w.trace.into(), counts: w.counts }
 }
