A sibling's closed line is told to the core; late messages let fresh ones pass

Of messages due, those that can still begin in the time wanted go first, with each fourth turn for the oldest.

--- a/crates/delivery/src/run/posts.rs
+++ b/crates/delivery/src/run/posts.rs
@@ -123,7 +123,8 @@
         // One that could not be reached is asked whether it is well, where
         // it can be asked, before a message goes there.
         let asked = || self.link.rules.services.get(&w.info.service).is_some_and(|s| !s.health.is_empty());
-        w.usable(&self.link, now) && !w.gone && !w.sick.open(now) && !(w.down.wary() && asked())
+        let unasked = w.down.wary() && asked();
+        w.usable(&self.link, now) && !w.gone && !w.sick.open(now) && !unasked
     }
 
     /// How much of each service this daemon takes from each of `keepers`
--- a/crates/shell/src/network.rs
+++ b/crates/shell/src/network.rs
@@ -117,8 +117,8 @@
         for (at, front) in self.fronts {
             tokio::spawn(crate::front::serve(at, front, self.desk.clone(), settings.clone(), self.leaving.clone()));
         }
-        tokio::spawn(crate::wires::serve(self.wires.clone(), self.sockets, self.ring));
-        let mut lines = Lines::new(self.wires);
+        tokio::spawn(crate::wires::serve(self.wires.clone(), self.sockets, self.ring.clone()));
+        let mut lines = Lines::new(self.wires, self.ring);
         while let Some(posts) = todo.recv().await {
             for p in posts {
                 match p {
--- a/crates/shell/tests/wires.rs
+++ b/crates/shell/tests/wires.rs
@@ -17,7 +17,8 @@
     let sibling = Daemon("store-2".into());
     wires.learn(&sibling, &listener.local_addr().unwrap().to_string());
     let listener = tokio::net::TcpListener::from_std(listener).unwrap();
-    let mut lines = Lines::new(wires);
+    let (ring, heard) = crossbeam_channel::bounded(16);
+    let mut lines = Lines::new(wires, ring);
     for n in 0..3u8 {
         lines.write(sibling.clone(), vec![n; 4]);
         let (mut stream, _) = tokio::time::timeout(LONG, listener.accept()).await.expect("no new line").unwrap();
@@ -25,7 +26,12 @@
         tokio::time::timeout(LONG, stream.read_exact(&mut frame)).await.expect("no frame").unwrap();
         assert_eq!(frame, [0, 0, 0, 4, n, n, n, n]);
         drop(stream);
-        // The close is seen once the runtime has looked at its sockets.
-        tokio::task::spawn_blocking(|| {}).await.unwrap();
+        // The close is seen once the runtime has looked at its sockets, and
+        // told without a frame to be written.
+        let told = tokio::task::spawn_blocking({
+            let heard = heard.clone();
+            move || heard.recv_timeout(LONG)
+        });
+        assert_eq!(told.await.unwrap(), Ok(Event::Cut(sibling.clone())));
     }
 }
--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -165,7 +165,7 @@
         }
         let mut offers: BTreeMap<Daemon, (Time, Vec<Offer>)> = BTreeMap::new();
         for (goal, mut lines) in goals {
-            lines.sort_by(|a, b| (b.priority, b.first).cmp(&(a.priority, a.first)));
+            lines.sort_by_key(|l| std::cmp::Reverse((l.priority, l.first)));
             while let Some(line) = lines.pop() {
                 let Some((to, asked, life)) = self.taker(&goal, &out, now) else { break };
                 let Some(offer) = self.take_post(&line, &goal, &to, life, now) else { continue };
@@ -207,6 +207,11 @@
             false => self.link.rules.routes.get(&line.name)?.attempt,
         };
         let worth = self.link.rules.routes.get(&line.name).map(|r| r.worth);
+        // What can still begin in the time wanted goes before what is late
+        // already; but each fourth turn is the oldest's.
+        let start = self.link.rules.routes.get(&line.name).map_or(Span::ZERO, |r| r.start);
+        let oldest = start == Span::ZERO || self.counts.offers.is_multiple_of(4);
+        let fresh = Time(if oldest { 0 } else { now.0.saturating_sub(start.0) });
         let place = &line.place;
         let mut later = 0;
         loop {
@@ -214,7 +219,7 @@
             let own = p.own.as_mut()?;
             let seq = match call {
                 true => own.lane.pop(Some(&line.name), now)?,
-                false => own.lane.posts.get_mut(&line.name)?.pop(now)?,
+                false => own.lane.posts.get_mut(&line.name)?.pop_fresh(fresh, now)?,
             };
             let Some(r) = own.lane.ids.get(&seq).and_then(|id| p.recs.get(id)) else { continue };
             let id = r.head.id.clone();
