--- a/crates/sim/src/day.rs
+++ b/crates/sim/src/day.rs
@@ -27,7 +27,9 @@
 pub fn run_day(script: &Script, seed: u64, loud: bool, mutate: Option<Breakage>) -> Ran {
     let mut w = World::new(seed, script.steps.clone(), script.run, script.rate);
     w.loud = loud;
-    w.bounds = Bounds { list_rate: LIST_RATE, ..script.bounds.clone() };
+    let usual = script.routing.as_ref().is_some_and(|r| r.usual);
+    let paces = if usual { Paces::usual() } else { Paces::short() };
+    w.bounds = Bounds { list_rate: LIST_RATE, paces, ..script.bounds.clone() };
     w.body = script.body;
     w.mail.on = true;
     w.mail.routing = script.routing.clone().unwrap_or_default();
--- a/crates/sim/src/mail.rs
+++ b/crates/sim/src/mail.rs
@@ -14,11 +14,14 @@
     pub delayed: u64,
     /// How long a message is worth a run.
     pub worth: Span,
+    /// Daemons keep the times of a startup file without any, not those of
+    /// the templates.
+    pub usual: bool,
 }
 
 impl Default for Routing {
     fn default() -> Routing {
-        Routing { keys: 300, delayed: 10, worth: Span::secs(90) }
+        Routing { keys: 300, delayed: 10, worth: Span::secs(90), usual: false }
     }
 }
 
