--- /dev/null
+++ b/crates/scale/src/axes/reports.rs
@@ -0,0 +1,61 @@
+//! What a pull and its answer weigh, by the entries in them: the codec alone.
+use super::sizes;
+use crate::prelude::*;
+use crate::shape::mark_of;
+use crate::thread_time::nanos;
+
+pub fn run(quick: bool) -> Axis {
+    let mut axis = Axis::new("reports", "entries of one kind in one frame", "one frame, written and read");
+    let shape = Shape::default();
+    let me = shape.member(&Daemon("delivery-00001".into()));
+    let place = |n: usize| Place { tenant: format!("outside-{:06}", n / 50), waitlist: format!("to-{n:07}"), part: 0 };
+    let keeper = Daemon("store-00001".into());
+    let epoch = Epoch { term: Term(7), count: 1_234_567 };
+    for n in sizes(quick, &[10, 100, 1000, 10_000]) {
+        let need = |report: Report| Msg::Need {
+            asked: Time(1 << 40),
+            heard: (Term(7), Time(1 << 40)),
+            have: Vector::default(),
+            me: me.clone(),
+            report: Some(report),
+        };
+        let claims: Vec<Claim> =
+            (0..n).map(|i| Claim { duty: Duty::Endpoint(format!("destination-{i:07}")), epoch, checkpoint: false }).collect();
+        let kept = (0..n).map(|i| Claim { duty: Duty::Keep(place(i)), epoch, checkpoint: false }).collect();
+        let held = (0..n).map(|i| (place(i), 123_456)).collect();
+        let assigned = (0..n).map(|i| (place(i), keeper.clone())).collect();
+        let set: Vec<(Daemon, Mark)> =
+            (1..=3).map(|i| Daemon(format!("store-{i:05}"))).map(|d| (d.clone(), mark_of(&d))).collect();
+        let grant = |duty: Duty, set: Vec<(Daemon, Mark)>| Grant { duty, epoch, set, swap: None, shed: false, slice: None };
+        let news = |items: Vec<(Version, Item)>, grants: Vec<Grant>| Msg::News {
+            asked: Time(1 << 40),
+            term: Term(7),
+            fresh: Some(Span::millis(2500)),
+            items,
+            grants,
+            late: Vec::new(),
+        };
+        let places = (0..n).map(|i| (place(i), Placing { keeper: keeper.clone(), epoch })).collect();
+        let all = [
+            ("a delivery's claims", need(Report { claims, ..Report::default() })),
+            ("a store's claims and counts", need(Report { claims: kept, held, ..Report::default() })),
+            ("a delivery's assigned places", need(Report { assigned, ..Report::default() })),
+            (
+                "a delivery's grants",
+                news(Vec::new(), (0..n).map(|i| grant(Duty::Endpoint(format!("destination-{i:07}")), Vec::new())).collect()),
+            ),
+            ("a store's grants", news(Vec::new(), (0..n).map(|i| grant(Duty::Keep(place(i)), set.clone())).collect())),
+            ("places as news", news(vec![(epoch, Item::Places(places))], Vec::new())),
+        ];
+        for (name, msg) in all {
+            let t = nanos();
+            let frame = encode(&msg);
+            let wrote = nanos();
+            std::hint::black_box(decode::<Msg>(&frame).is_ok());
+            let read = nanos();
+            axis.line(&format!("{name}: bytes"), "bytes", n as f64, frame.len() as f64);
+            axis.line(&format!("{name}: written and read, us"), "us", n as f64, ((wrote - t) + (read - wrote)) as f64 / 1e3);
+        }
+    }
+    axis.fitted()
+}
--- /dev/null
+++ b/crates/scale/src/model.rs
@@ -0,0 +1,7 @@
+use crate::prelude::*;
+pub struct Model;
+impl Model {
+    pub fn new(_: &Slopes) -> Model {
+        Model
+    }
+}
--- /dev/null
+++ b/crates/scale/src/record.rs
@@ -0,0 +1,105 @@
+//! What a run leaves behind: points, fits and residuals, in one JSON file.
+use crate::prelude::*;
+use snafu::{OptionExt, ResultExt, Snafu};
+use std::path::{Path, PathBuf};
+
+#[derive(Debug, Snafu)]
+pub enum RecordError {
+    #[snafu(display("{} can't be read: {source}; make it with 'dahliawick-scale run --out FILE'", path.display()))]
+    Unread { path: PathBuf, source: std::io::Error },
+    #[snafu(display("{} is faulty: {source}; make it anew with 'dahliawick-scale run --out FILE'", path.display()))]
+    Faulty { path: PathBuf, source: serde_json::Error },
+    #[snafu(display("{} can't be written: {source}; name a file in an existing folder", path.display()))]
+    Unwritten { path: PathBuf, source: std::io::Error },
+    #[snafu(display("no figure '{axis} / {name}' is recorded; run 'dahliawick-scale run' for that axis"))]
+    Lacking { axis: String, name: String },
+    #[snafu(display("the page asks for '{name}', which nothing works out; mend the name or add it to the model"))]
+    Nameless { name: String },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Figure {
+    pub name: String,
+    pub unit: String,
+    pub points: Vec<(f64, f64)>,
+    pub fit: Fit,
+    /// While measuring: the form that fits better is taken.
+    #[serde(skip)]
+    either: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Axis {
+    pub name: String,
+    /// What is counted along it.
+    pub along: String,
+    /// What was held still meanwhile.
+    pub held: String,
+    pub figures: Vec<Figure>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Slopes {
+    pub made: String,
+    pub machine: String,
+    pub command: String,
+    /// Largest resident size of the run itself.
+    pub resident_mb: f64,
+    pub seconds: f64,
+    pub axes: Vec<Axis>,
+}
+
+impl Axis {
+    pub fn new(name: &str, along: &str, held: impl Into<String>) -> Axis {
+        Axis { name: name.into(), along: along.into(), held: held.into(), figures: Vec::new() }
+    }
+    /// Adds one point to a figure that grows in a straight line.
+    pub fn line(&mut self, name: &str, unit: &str, x: f64, y: f64) {
+        self.point(name, unit, false, x, y);
+    }
+    /// Adds one point to a figure that grows by a line or by a power.
+    pub fn either(&mut self, name: &str, unit: &str, x: f64, y: f64) {
+        self.point(name, unit, true, x, y);
+    }
+    /// The fit is made when all points are in.
+    fn point(&mut self, name: &str, unit: &str, either: bool, x: f64, y: f64) {
+        let round = |x: f64| format!("{x:.4e}").parse().unwrap_or(x);
+        let y = round(y);
+        match self.figures.iter_mut().find(|f| f.name == name) {
+            Some(f) => f.points.push((x, y)),
+            None => {
+                let fit = Fit { form: Form::Line, a: 0.0, b: 0.0, residual: 0.0 };
+                self.figures.push(Figure { name: name.into(), unit: unit.into(), points: vec![(x, y)], fit, either });
+            }
+        }
+    }
+    pub fn fitted(mut self) -> Axis {
+        for f in &mut self.figures {
+            let (line, power) = (fit(Form::Line, &f.points), fit(Form::Power, &f.points));
+            f.fit = if f.either && power.residual < line.residual { power } else { line };
+        }
+        self
+    }
+}
+
+impl Slopes {
+    pub fn read(path: &Path) -> Result<Slopes, RecordError> {
+        let text = std::fs::read_to_string(path).context(UnreadSnafu { path })?;
+        serde_json::from_str(&text).context(FaultySnafu { path })
+    }
+    pub fn write(&self, path: &Path) -> Result<(), RecordError> {
+        let text = serde_json::to_string_pretty(self).context(FaultySnafu { path })? + "\n";
+        std::fs::write(path, text).context(UnwrittenSnafu { path })
+    }
+    pub fn figure(&self, axis: &str, name: &str) -> Result<&Figure, RecordError> {
+        let found = self.axes.iter().find(|a| a.name == axis).and_then(|a| a.figures.iter().find(|f| f.name == name));
+        found.context(LackingSnafu { axis, name })
+    }
+    pub fn fit(&self, axis: &str, name: &str) -> Result<Fit, RecordError> {
+        self.figure(axis, name).map(|f| f.fit)
+    }
+    /// The fit's value at `x`.
+    pub fn at(&self, axis: &str, name: &str, x: f64) -> Result<f64, RecordError> {
+        self.fit(axis, name).map(|f| f.at(x))
+    }
+}
--- /dev/null
+++ b/crates/scale/src/shape.rs
@@ -0,0 +1,163 @@
+//! What a hollow fleet is made of: its charter, its members and the hard
+//! state they were taken in by.
+use crate::prelude::*;
+use dw_charter::prelude::Charter;
+use dw_election::prelude::{Base, Stored};
+use dw_placement::prelude::Hard;
+use serde_json::{json, Value};
+
+/// Invariant: names and addresses are as long as a large fleet's.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub stores: usize,
+    pub deliveries: usize,
+    /// Agents, each with a proxy beside it.
+    pub edges: usize,
+    /// Agents without a proxy: daemons that only hear news.
+    pub agents: usize,
+    pub tenants: usize,
+    /// Waitlists of each tenant that go to workers.
+    pub lists: usize,
+    pub parts: u32,
+    /// Outside endpoints, each with a waitlist of its own.
+    pub destinations: usize,
+    pub workers: usize,
+    pub zones: usize,
+}
+
+impl Default for Shape {
+    fn default() -> Shape {
+        Shape {
+            stores: 3,
+            deliveries: 3,
+            edges: 0,
+            agents: 0,
+            tenants: 2,
+            lists: 2,
+            parts: 2,
+            destinations: 0,
+            workers: 4,
+            zones: 8,
+        }
+    }
+}
+
+/// Destinations of one tenant.
+pub const OF_TENANT: usize = 50;
+
+pub const LIFE: Mark = Mark(0x5ca1_0001);
+
+pub fn mark_of(d: &Daemon) -> Mark {
+    Mark(hash_of(d.as_str().as_bytes()) | 1)
+}
+
+impl Shape {
+    pub fn names(&self) -> Vec<Daemon> {
+        let some = |kind: &str, n: usize| (1..=n).map(|i| Daemon(format!("{kind}-{i:05}"))).collect::<Vec<_>>();
+        [
+            some("placement", 3),
+            some("store", self.stores),
+            some("delivery", self.deliveries),
+            some("agent", self.edges + self.agents),
+            some("proxy", self.edges),
+        ]
+        .concat()
+    }
+    pub fn seeds(&self) -> Vec<Daemon> {
+        self.names().into_iter().take(3).collect()
+    }
+    pub fn zone_of(&self, d: &Daemon) -> Zone {
+        let n: usize = d.as_str().rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(1);
+        Zone(format!("region-{}-zone-{}", n % 4, n % self.zones.max(1)))
+    }
+    pub fn member(&self, d: &Daemon) -> Member {
+        let at = hash_of(d.as_str().as_bytes()).to_be_bytes();
+        let ip = format!("10.{}.{}.{}", 100 + at[0] % 100, 100 + at[1] % 100, 100 + at[2] % 100);
+        Member {
+            id: d.clone(),
+            zone: self.zone_of(d),
+            addr: format!("{ip}:7000"),
+            http: format!("{ip}:8000"),
+            life: LIFE,
+            disk: if d.kind() == Kind::Store { mark_of(d) } else { Mark(0) },
+        }
+    }
+    pub fn tenant(n: usize) -> String {
+        format!("tenant-{n:05}")
+    }
+    pub fn list(n: usize) -> String {
+        format!("list-{n:04}")
+    }
+
+    pub fn charter(&self) -> Value {
+        let mut tenants: Vec<Value> =
+            (0..self.tenants).map(|n| json!({"name": Shape::tenant(n), "template": "work", "share": 10})).collect();
+        let lists: Vec<Value> = (0..self.lists)
+            .map(|n| json!({"name": Shape::list(n), "partitions": self.parts, "service": "work", "attempts": 200}))
+            .collect();
+        let mut templates = vec![json!({"name": "work", "waitlists": lists})];
+        let names: Vec<String> = (0..self.destinations).map(|n| format!("{n:07}")).collect();
+        let mut endpoints: Vec<Value> = Vec::new();
+        for (n, name) in names.iter().enumerate() {
+            let address = format!("10.{}.{}.{}:8443", 100 + n % 100, 100 + n / 100 % 100, 100 + n / 10_000 % 100);
+            endpoints.push(json!({"name": format!("destination-{name}"), "address": address, "path": "/inbox", "allowance": 10}));
+        }
+        for (n, some) in names.chunks(OF_TENANT).enumerate() {
+            let name = format!("outside-{n:06}");
+            tenants.push(json!({"name": name, "template": name, "share": 10}));
+            templates.push(json!({"name": name, "waitlists": [
+                {"name": "to-${each}", "each": some, "endpoint": "destination-${each}", "attempts": 200}]}));
+        }
+        json!({"templates": templates, "tenants": tenants, "services": [{"name": "work", "slots": 64, "warm_ms": 100}],
+               "endpoints": endpoints})
+    }
+
+    /// As the primary writes it down: in one canonical form.
+    pub fn charter_text(&self) -> String {
+        let read: Result<Charter, _> = serde_json::from_value(self.charter());
+        read.ok().and_then(|c| serde_json::to_string(&c).ok()).unwrap_or_default()
+    }
+
+    /// The hard state of a fleet that has stood for a while: all members are
+    /// taken in, the charter is in force and write sets are laid out.
+    pub fn hard(&self) -> Hard {
+        let first = Version { term: Term(1), count: 1 };
+        let charter = self.charter_text();
+        let rules = dw_charter::check::read(&charter).map(|c| dw_charter::prelude::compile(&c, first)).unwrap_or_default();
+        let stores: Vec<Daemon> = self.names().into_iter().filter(|d| d.kind() == Kind::Store).collect();
+        let mut layout = BTreeMap::new();
+        for place in rules.lists.values().flat_map(|r| r.places()) {
+            let at = hash_of(place.to_string().as_bytes()) as usize;
+            let set = (0..3.min(stores.len())).map(|n| &stores[(at + n) % stores.len()]).map(|d| (d.clone(), mark_of(d)));
+            layout.insert(place, set.collect());
+        }
+        Hard {
+            charter,
+            charter_version: first,
+            members: self.names().iter().map(|d| (d.clone(), self.member(d))).collect(),
+            members_version: first,
+            layout,
+            ..Hard::default()
+        }
+    }
+
+    /// One placement daemon's folder.
+    pub fn folder(&self, d: &Daemon, hard: &Hard) -> Vec<(String, Bytes)> {
+        let members = self.seeds().iter().map(|d| (d.clone(), mark_of(d))).collect();
+        let data = dw_election::log::bytes_lite::Blob(encode(hard));
+        let base = Base { index: 8, term: Term(1), members, data };
+        let stored: Stored<Order> = Stored { mark: mark_of(d), founded: true, term: Term(1), vote: None, base, log: Vec::new() };
+        vec![(format!("hard-{:016x}", 1), Bytes::from(encode(&stored)))]
+    }
+
+    pub fn listed(&self) -> Bytes {
+        let all: Vec<Value> = (0..self.workers)
+            .map(|n| {
+                let address = format!("10.{}.{}.{}:9000", 100 + n % 100, 100 + n / 100 % 100, 100 + n / 10_000 % 100);
+                json!({"id": format!("worker-{n:06}"), "service": "work", "address": address,
+                       "zone": format!("region-{}-zone-{}", n % 4, n % self.zones.max(1)), "state": "ready"})
+            })
+            .collect();
+        Bytes::from(json!({ "workers": all }).to_string())
+    }
+}
