--- a/crates/scale/src/axes/daemons.rs
+++ b/crates/scale/src/axes/daemons.rs
@@ -37,7 +37,12 @@
         let more = |get: &dyn Fn(&Meter) -> f64| (get(&q) - get(&p)).max(0.0);
         let sent = |m: &Meter| m.said.get("news").map_or(0.0, |x| x.bytes as f64);
         axis.either("one restart: news sent by the primary, bytes", "bytes", all, more(&sent));
-        axis.either("one restart: primary's processor time, us", "us", all, more(&|m| m.nanos() as f64 / 1e3));
+        let work = |m: &Meter| {
+            let took = ["hard", "saved"].iter().filter_map(|k| m.took.get(k));
+            let said = ["hard", "news"].iter().filter_map(|k| m.said.get(k));
+            took.chain(said).map(|p| p.nanos as f64 / 1e3).sum::<f64>()
+        };
+        axis.either("one restart: primary's processor time, us", "us", all, more(&work).max(0.1));
         axis.line("one restart: its primary's saves, bytes", "bytes", all, q.saved_bytes as f64);
         let (b, _) = f.meters(Kind::Agent);
         let spent = |m: &Meter| each(m, "news") * m.took.get("news").map_or(0.0, |p| p.count as f64) / count as f64;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,8 +1,11 @@
 //! Measures what each role costs, and writes the capacity page's figures.
 use dw_scale::axes::ALL;
+use dw_scale::page::{differ, fill};
 use dw_scale::prelude::*;
+use dw_scale::record::{NamelessSnafu, UnreadSnafu, UnwrittenSnafu};
 use dw_scale::{heap::Counting, thread_time};
 use gumdrop::Options;
+use snafu::{OptionExt, ResultExt};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Instant;
@@ -24,6 +27,32 @@
 enum Command {
     #[options(help = "measure along every axis, or some")]
     Run(RunLine),
+    #[options(help = "write the page's tables and figures in from the recorded slopes")]
+    Page(PageLine),
+    #[options(help = "print one table of the page, or the names of all")]
+    Table(TableLine),
+}
+
+#[derive(Debug, Options)]
+struct PageLine {
+    #[options(help = "show this help")]
+    help: bool,
+    #[options(help = "the recorded slopes", default = "docs/measurements/capacity-slopes.json")]
+    slopes: PathBuf,
+    #[options(help = "the page", default = "docs/CAPACITY.md")]
+    page: PathBuf,
+    #[options(help = "only say whether page and slopes agree")]
+    check: bool,
+}
+
+#[derive(Debug, Options)]
+struct TableLine {
+    #[options(help = "show this help")]
+    help: bool,
+    #[options(free, help = "the table's name")]
+    names: Vec<String>,
+    #[options(help = "the recorded slopes", default = "docs/measurements/capacity-slopes.json")]
+    slopes: PathBuf,
 }
 
 #[derive(Debug, Options)]
@@ -77,6 +106,31 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn page(line: &PageLine) -> Result<ExitCode, RecordError> {
+    let model = Model::new(&Slopes::read(&line.slopes)?)?;
+    let old = std::fs::read_to_string(&line.page).context(UnreadSnafu { path: &line.page })?;
+    let new = fill(&old, &model)?;
+    let Some(where_to) = differ(&old, &new) else { return Ok(ExitCode::SUCCESS) };
+    if line.check {
+        eprintln!("dahliawick-scale: {} differs, {where_to}\nwrite it anew with 'dahliawick-scale page'", line.page.display());
+        return Ok(ExitCode::from(1));
+    }
+    std::fs::write(&line.page, new).context(UnwrittenSnafu { path: &line.page })?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn table(line: &TableLine) -> Result<ExitCode, RecordError> {
+    let model = Model::new(&Slopes::read(&line.slopes)?)?;
+    for name in &line.names {
+        println!("{}", model.tables.get(name.as_str()).context(NamelessSnafu { name })?);
+    }
+    if line.names.is_empty() {
+        println!("{}", model.tables.keys().copied().collect::<Vec<_>>().join(" "));
+        model.values.iter().for_each(|(k, v)| println!("{k}: {v}"));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn show(axis: &Axis) {
     println!("{} ({}; {})", axis.name, axis.along, axis.held);
     for f in &axis.figures {
@@ -97,6 +151,8 @@
     let line = Line::parse_args_default_or_exit();
     let done = match line.command {
         Some(Command::Run(run)) => measure(&run),
+        Some(Command::Page(line)) => page(&line),
+        Some(Command::Table(line)) => table(&line),
         None => Ok(ExitCode::SUCCESS),
     };
     match done {
--- a/crates/scale/src/record.rs
+++ b/crates/scale/src/record.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
 pub enum RecordError {
     #[snafu(display("{} can't be read: {source}; make it with 'dahliawick-scale run --out FILE'", path.display()))]
     Unread { path: PathBuf, source: std::io::Error },
@@ -88,9 +89,21 @@
         serde_json::from_str(&text).context(FaultySnafu { path })
     }
     pub fn write(&self, path: &Path) -> Result<(), RecordError> {
-        let text = serde_json::to_string_pretty(self).context(FaultySnafu { path })? + "\n";
+        let text = self.text().context(FaultySnafu { path })?;
         std::fs::write(path, text).context(UnwrittenSnafu { path })
     }
+    /// One line for each figure, so that two runs compare line by line.
+    fn text(&self) -> Result<String, serde_json::Error> {
+        let bare = Slopes { axes: Vec::new(), ..self.clone() };
+        let mut axes = Vec::new();
+        for a in &self.axes {
+            let figures: Result<Vec<String>, _> = a.figures.iter().map(serde_json::to_string).collect();
+            let bare = serde_json::to_string(&Axis { figures: Vec::new(), ..a.clone() })?;
+            axes.push(bare.replace("\"figures\":[]", &format!("\"figures\":[\n  {}]", figures?.join(",\n  "))));
+        }
+        let whole = serde_json::to_string_pretty(&bare)?;
+        Ok(whole.replace("\"axes\": []", &format!("\"axes\": [\n{}]", axes.join(",\n"))) + "\n")
+    }
     pub fn figure(&self, axis: &str, name: &str) -> Result<&Figure, RecordError> {
         let found = self.axes.iter().find(|a| a.name == axis).and_then(|a| a.figures.iter().find(|f| f.name == name));
         found.context(LackingSnafu { axis, name })
