Capacity: real processes beside hollow ones, holders' bytes held against whole fleets

Cause: the first sums left out what grows with both holders and duties, and what the shell costs. Two passes, the least processor time stands; squares are fitted too; sizes between two measured ones are read from them.

--- a/crates/scale/src/amount.rs
+++ b/crates/scale/src/amount.rs
@@ -4,7 +4,8 @@
     let places = match x.abs() {
         x if x >= 100.0 || x == 0.0 => 0,
         x if x >= 10.0 => 1,
-        _ => 2,
+        x if x >= 0.1 => 2,
+        x => (2.0 - x.log10()).ceil().min(9.0) as usize,
     };
     let text = format!("{x:.places$}");
     match text.contains('.') {
--- a/crates/scale/src/axes/backlog.rs
+++ b/crates/scale/src/axes/backlog.rs
@@ -39,7 +39,7 @@
         f.restart(&one);
         let back = f.meter(&one);
         let start = back.took.get("start").copied().unwrap_or_default();
-        axis.either("one store: reading its folder back, ms", "ms", x, start.nanos as f64 / 1e6);
+        axis.line("one store: reading its folder back, ms", "ms", x, start.nanos as f64 / 1e6);
         f.run(Span::secs(12));
         // Workers are there again: the backlog begins to run off.
         f.working = true;
--- a/crates/scale/src/axes/daemons.rs
+++ b/crates/scale/src/axes/daemons.rs
@@ -3,10 +3,14 @@
 use crate::prelude::*;
 
 pub fn run(quick: bool) -> Axis {
-    let mut axis = Axis::new("daemons", "daemons that hear news", "6 stores, 6 deliveries, 8 partitions, 4 workers, no messages");
-    for n in sizes(quick, &[10, 30, 100, 300, 600]) {
+    let mut axis = Axis::new(
+        "daemons",
+        "members: daemons that pull from the primary",
+        "6 stores, 6 deliveries, 8 partitions, 4 workers, no messages",
+    );
+    for n in sizes(quick, &[10, 30, 100, 300]) {
         let shape = Shape { stores: 6, deliveries: 6, agents: n, ..Shape::default() };
-        let all = shape.names().len() as f64;
+        let all = shape.members().len() as f64;
         let mut f = Fleet::new(shape);
         let Some(primary) = f.settle(8) else { continue };
         f.reset();
--- a/crates/scale/src/axes/destinations.rs
+++ b/crates/scale/src/axes/destinations.rs
@@ -5,7 +5,7 @@
 
 pub fn run(quick: bool) -> Axis {
     let mut axis = Axis::new("destinations", "outside destinations", "6 stores, 6 deliveries, 2 edges, 4 workers, no messages");
-    for n in sizes(quick, &[10, 100, 1000, 2000]) {
+    for n in sizes(quick, &[10, 100, 300, 1000]) {
         let shape =
             Shape { stores: 6, deliveries: 6, edges: 2, tenants: 1, lists: 1, parts: 1, destinations: n, ..Shape::default() };
         let text = shape.charter_text();
--- a/crates/scale/src/axes/members.rs
+++ b/crates/scale/src/axes/members.rs
@@ -14,7 +14,7 @@
     }
     for n in sizes(quick, &[100, 1000, 10_000]) {
         let (x, shape) = (n as f64, Shape { agents: n, ..Shape::default() });
-        let members: Vec<Member> = shape.names().iter().map(|d| shape.member(d)).collect();
+        let members = shape.members();
         let spots: Vec<Spot> = members.iter().map(|m| Spot { id: m.id.clone(), zone: m.zone.clone() }).collect();
         let t = nanos();
         let rounds = 20_000 / n.max(100) + 2;
@@ -36,7 +36,7 @@
 
 fn watcher(n: usize) -> (Watch, Vec<Spot>) {
     let shape = Shape { agents: n, stores: 0, deliveries: 0, ..Shape::default() };
-    let spots: Vec<Spot> = shape.names().into_iter().map(|d| Spot { zone: shape.zone_of(&d), id: d }).collect();
+    let spots: Vec<Spot> = shape.members().into_iter().map(|m| Spot { zone: m.zone, id: m.id }).collect();
     let me = spots[spots.len() - 1].clone();
     (Watch::new(me, Mark(1), BeatPace::default()), spots)
 }
--- a/crates/scale/src/axes/messages.rs
+++ b/crates/scale/src/axes/messages.rs
@@ -52,7 +52,7 @@
         for (name, kind) in [("proxy", Kind::Proxy), ("store", Kind::Store), ("delivery", Kind::Delivery)] {
             let (m, _) = f.meters(kind);
             // Over all daemons of the kind, so the slope is one message's.
-            axis.either(&format!("{name}: processor time, us/s"), "us/s", x, m.nanos() as f64 / 1e3 / secs);
+            axis.line(&format!("{name}: processor time, us/s"), "us/s", x, m.nanos() as f64 / 1e3 / secs);
             axis.line(&format!("{name}: bytes sent, 1/s"), "B/s", x, m.said_bytes() as f64 / secs);
             axis.line(&format!("{name}: frames sent, 1/s"), "1/s", x, m.said_frames() as f64 / secs);
         }
--- a/crates/scale/src/axes/mod.rs
+++ b/crates/scale/src/axes/mod.rs
@@ -2,10 +2,12 @@
 use crate::prelude::*;
 
 mod backlog;
+mod beside;
 mod changes;
 mod daemons;
 mod destinations;
 mod frames;
+mod holders;
 mod members;
 mod messages;
 mod partitions;
@@ -17,7 +19,7 @@
 pub type Run = fn(quick: bool) -> Axis;
 
 /// In the order in which they run.
-pub const ALL: [(&str, Run); 12] = [
+pub const ALL: [(&str, Run); 14] = [
     ("members", members::run),
     ("reports", reports::run),
     ("daemons", daemons::run),
@@ -25,11 +27,13 @@
     ("routes", routes::run),
     ("workers", workers::run),
     ("destinations", destinations::run),
+    ("holders", holders::run),
     ("changes", changes::run),
     ("messages", messages::run),
     ("backlog", backlog::run),
     ("take-over", take_over::run),
     ("frames", frames::run),
+    ("beside", beside::run),
 ];
 
 /// The sizes of an axis; a quick run takes the smaller ones.
--- a/crates/scale/src/axes/reports.rs
+++ b/crates/scale/src/axes/reports.rs
@@ -23,6 +23,7 @@
             (0..n).map(|i| Claim { duty: Duty::Endpoint(format!("destination-{i:07}")), epoch, checkpoint: false }).collect();
         let kept = (0..n).map(|i| Claim { duty: Duty::Keep(place(i)), epoch, checkpoint: false }).collect();
         let held = (0..n).map(|i| (place(i), 123_456)).collect();
+        let seen = (0..n).map(|i| (Duty::Endpoint(format!("destination-{i:07}")), me.id.clone())).collect();
         let assigned = (0..n).map(|i| (place(i), keeper.clone())).collect();
         let set: Vec<(Daemon, Mark)> =
             (1..=3).map(|i| Daemon(format!("store-{i:05}"))).map(|d| (d.clone(), mark_of(&d))).collect();
@@ -39,6 +40,7 @@
         let all = [
             ("a delivery's claims", need(Report { claims, ..Report::default() })),
             ("a store's claims and counts", need(Report { claims: kept, held, ..Report::default() })),
+            ("a store's evidence of holders", need(Report { seen, ..Report::default() })),
             ("a delivery's assigned places", need(Report { assigned, ..Report::default() })),
             (
                 "a delivery's grants",
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -6,6 +6,8 @@
 pub enum Form {
     /// y = a + b x
     Line,
+    /// y = a + b x²
+    Square,
     /// y = a x^b
     Power,
 }
@@ -23,6 +25,7 @@
     pub fn at(&self, x: f64) -> f64 {
         match self.form {
             Form::Line => self.a + self.b * x,
+            Form::Square => self.a + self.b * x * x,
             Form::Power => self.a * x.powf(self.b),
         }
     }
@@ -30,6 +33,7 @@
     pub fn reaches(&self, y: f64) -> f64 {
         let x = match self.form {
             Form::Line => (y - self.a) / self.b,
+            Form::Square => ((y - self.a) / self.b).sqrt(),
             Form::Power => (y / self.a).powf(1.0 / self.b),
         };
         if self.b > 0.0 && x.is_finite() {
@@ -48,12 +52,14 @@
     ((y - b * x) / w, b)
 }
 
-/// A line is fitted to relative errors (weights 1/y²), so that small sizes
+/// Lines and squares are fitted to relative errors (weights 1/y²), so that small sizes
 /// count as much as large ones; a power on the logarithms.
 pub fn fit(form: Form, points: &[(f64, f64)]) -> Fit {
     let tiny = 1e-9;
+    let weigh = |x: f64, y: f64| (x, y, 1.0 / y.abs().max(tiny).powi(2));
     let (a, b) = match form {
-        Form::Line => line(&points.iter().map(|(x, y)| (*x, *y, 1.0 / y.abs().max(tiny).powi(2))).collect::<Vec<_>>()),
+        Form::Square => line(&points.iter().map(|(x, y)| weigh(x * x, *y)).collect::<Vec<_>>()),
+        Form::Line => line(&points.iter().map(|(x, y)| weigh(*x, *y)).collect::<Vec<_>>()),
         Form::Power => {
             let (a, b) = line(&points.iter().map(|(x, y)| (x.ln(), y.max(tiny).ln(), 1.0)).collect::<Vec<_>>());
             (a.exp(), b)
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -65,6 +65,8 @@
     quick: bool,
     #[options(help = "write the slopes to this file", meta = "FILE")]
     out: Option<PathBuf>,
+    #[options(help = "passes of each axis; the least processor time stands", default = "2")]
+    passes: u32,
     #[options(no_short, help = "no axis begins after so many seconds", default = "170")]
     bound: u64,
     #[options(no_short, help = "the day to record", meta = "YYYY-MM-DD", default = "")]
@@ -84,7 +86,13 @@
             continue;
         }
         let since = Instant::now();
-        let axis = run(line.quick);
+        let mut axis = run(line.quick);
+        // Real processes are measured over seconds of real time; once is enough.
+        if name != "beside" {
+            for _ in 1..line.passes {
+                axis = axis.least(&run(line.quick));
+            }
+        }
         resident = resident.max(thread_time::resident());
         eprintln!("{name}: {:.1} s", since.elapsed().as_secs_f64());
         show(&axis);
--- a/crates/scale/src/record.rs
+++ b/crates/scale/src/record.rs
@@ -50,6 +50,20 @@
     pub axes: Vec<Axis>,
 }
 
+impl Figure {
+    fn timed(&self) -> bool {
+        matches!(self.unit.as_str(), "us" | "us/s" | "ms" | "ms/s")
+    }
+    /// The size at which it reaches `y`, and whether that is measured: between
+    /// two neighbouring sizes on their logarithms, else where the fit has it.
+    pub fn reaches(&self, y: f64) -> (f64, bool) {
+        let pair = self.points.windows(2).find(|w| w[0].1 <= y && y <= w[1].1 && w[0].1 < w[1].1);
+        let Some([(x0, y0), (x1, y1)]) = pair else { return (self.fit.reaches(y), false) };
+        let way = (y / y0).ln() / (y1 / y0).ln();
+        (x0 * (x1 / x0).powf(way), true)
+    }
+}
+
 impl Axis {
     pub fn new(name: &str, along: &str, held: impl Into<String>) -> Axis {
         Axis { name: name.into(), along: along.into(), held: held.into(), figures: Vec::new() }
@@ -58,7 +72,7 @@
     pub fn line(&mut self, name: &str, unit: &str, x: f64, y: f64) {
         self.point(name, unit, false, x, y);
     }
-    /// Adds one point to a figure that grows by a line or by a power.
+    /// Adds one point to a figure that grows by a line, a square or a power.
     pub fn either(&mut self, name: &str, unit: &str, x: f64, y: f64) {
         self.point(name, unit, true, x, y);
     }
@@ -74,10 +88,27 @@
             }
         }
     }
+    /// Of two passes the smaller processor time stands: a busy machine only
+    /// ever adds to it. All else is the same in both, or the first's.
+    pub fn least(mut self, other: &Axis) -> Axis {
+        for f in self.figures.iter_mut().filter(|f| f.timed()) {
+            let Some(o) = other.figures.iter().find(|o| o.name == f.name) else { continue };
+            for p in &mut f.points {
+                if let Some(q) = o.points.iter().find(|q| q.0 == p.0) {
+                    p.1 = p.1.min(q.1);
+                }
+            }
+        }
+        self.fitted()
+    }
     pub fn fitted(mut self) -> Axis {
         for f in &mut self.figures {
-            let (line, power) = (fit(Form::Line, &f.points), fit(Form::Power, &f.points));
-            f.fit = if f.either && power.residual < line.residual { power } else { line };
+            f.fit = fit(Form::Line, &f.points);
+            for other in [Form::Square, Form::Power].map(|form| fit(form, &f.points)) {
+                if f.either && other.residual < f.fit.residual {
+                    f.fit = other;
+                }
+            }
         }
         self
     }
--- a/crates/scale/src/shape.rs
+++ b/crates/scale/src/shape.rs
@@ -82,6 +82,12 @@
             disk: if d.kind() == Kind::Store { mark_of(d) } else { Mark(0) },
         }
     }
+    /// Who pulls from the primary itself: its own replicas and the proxies,
+    /// fed by their agents, are nobody's members.
+    pub fn members(&self) -> Vec<Member> {
+        let pulls = |d: &&Daemon| !matches!(d.kind(), Kind::Placement | Kind::Proxy);
+        self.names().iter().filter(pulls).map(|d| self.member(d)).collect()
+    }
     pub fn tenant(n: usize) -> String {
         format!("tenant-{n:05}")
     }
@@ -134,7 +140,7 @@
         Hard {
             charter,
             charter_version: first,
-            members: self.names().iter().map(|d| (d.clone(), self.member(d))).collect(),
+            members: self.members().into_iter().map(|m| (m.id.clone(), m)).collect(),
             members_version: first,
             layout,
             ..Hard::default()
--- a/crates/scale/src/target.rs
+++ b/crates/scale/src/target.rs
@@ -4,7 +4,7 @@
 pub struct Given {
     pub name: &'static str,
     pub value: f64,
-    /// "stated" by the users or "assumed" by us.
+    /// "stated" by the users, "assumed" by us, or "in the code".
     pub how: &'static str,
     pub what: &'static str,
 }
@@ -16,6 +16,10 @@
     Given { name, value, how: "assumed", what }
 }
 
+const fn coded(name: &'static str, value: f64, what: &'static str) -> Given {
+    Given { name, value, how: "in the code", what }
+}
+
 pub const ALL: [Given; 32] = [
     stated("daemons", 15_000.0, "daemons"),
     stated("events", 5.4e6, "events a second"),
@@ -41,8 +45,8 @@
     assumed("link", 1.25e9, "bytes a second a machine's network takes"),
     assumed("disk", 1e8, "bytes a second one log may write"),
     assumed("store-memory", 16e9, "bytes of memory a store may have for its index"),
-    assumed("store-bound", 150_000.0, "messages a store holds at most by default (bounds.messages)"),
-    assumed("frame", 8_388_608.0, "bytes of the largest frame (FRAME_MAX)"),
+    coded("store-bound", 150_000.0, "messages a store holds at most by default (bounds.messages)"),
+    coded("frame", 8_388_608.0, "bytes of the largest frame (FRAME_MAX)"),
     assumed("cells", 600.0, "cells of placement"),
     assumed("change-bytes", 300.0, "bytes of one difference, its version and its frame's part"),
     assumed("segment", 64e6, "bytes of a segment of a backlog on disk"),
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -73,3 +73,17 @@
     assert!(mechanisms.len() >= 3);
     assert!(all.iter().all(|b| b.size > 0.0));
 }
+
+/// What the page works out for today's holders is what a whole fleet of other
+/// sizes was measured to send.
+#[test]
+fn a_holders_bytes_worked_out_from_entries_are_those_measured() {
+    let s = slopes();
+    for (name, pick) in [("store: control, bytes/s", 0), ("delivery: control, bytes/s", 1)] {
+        for (n, measured) in &s.figure("holders", name).unwrap().points {
+            let (store, delivery) = dw_scale::model::holder_flows(&s, 200.0, n / 2.0, n / 2.0).unwrap();
+            let worked = [store, delivery][pick];
+            assert!((worked / measured - 1.0).abs() < 0.15, "{name} at {n}: {worked:.0} worked out, {measured} measured");
+        }
+    }
+}
