--- a/crates/scale/src/axes/backlog.rs
+++ b/crates/scale/src/axes/backlog.rs
@@ -5,7 +5,7 @@
 pub fn run(quick: bool) -> Axis {
     let held = format!("3 stores, 3 deliveries, 2 edges, 4 partitions, no worker takes any, bodies of {} bytes", messages::BODY);
     let mut axis = Axis::new("backlog", "messages waiting", held);
-    for n in sizes(quick, &[2000, 6000, 20_000, 60_000]) {
+    for n in sizes(quick, &[2000, 6000, 20_000, 40_000]) {
         let shape = Shape { edges: 2, tenants: 2, lists: 1, parts: 2, workers: 32, ..Shape::default() };
         // The bodies rest on disk: what is in memory is the index.
         let mut f = Fleet::with_cache(shape, 64 << 10);
--- a/crates/scale/src/axes/changes.rs
+++ b/crates/scale/src/axes/changes.rs
@@ -12,7 +12,7 @@
         "destinations in the charter",
         format!("3 stores, 3 deliveries, {AGENTS} agents, 2 edges; patches of 1 and of 100 entries"),
     );
-    for n in sizes(quick, &[30, 100, 300, 1000]) {
+    for n in sizes(quick, &[30, 100, 300, 500]) {
         let shape = Shape { edges: 2, agents: AGENTS, tenants: 1, lists: 1, parts: 1, destinations: n, ..Shape::default() };
         let text = shape.charter_text();
         let mut f = Fleet::new(shape);
--- a/crates/scale/src/axes/frames.rs
+++ b/crates/scale/src/axes/frames.rs
@@ -5,6 +5,7 @@
 use crate::thread_time::process_nanos;
 use crossbeam_channel::bounded;
 use dw_shell::prelude::Startup;
+use dw_shell::wires;
 use std::time::Duration;
 
 const FRAMES: u64 = 2000;
@@ -36,25 +37,49 @@
 /// has no loopback to offer.
 fn exchange(len: usize) -> Option<f64> {
     let (a, b) = (startup("store-1", free_port()?)?, startup("store-2", free_port()?)?);
-    let ((left, _keep), (right, heard)) = (bounded(64), bounded(64));
-    let one = dw_shell::wires::start(&a, a.member(Mark(1)), left).ok()?;
-    let _two = dw_shell::wires::start(&b, b.member(Mark(2)), right).ok()?;
+    let (ring, heard) = bounded(64);
+    let (one, _unheard) = wires::bind(&a, a.member(Mark(1))).ok()?;
+    let (two, sockets) = wires::bind(&b, b.member(Mark(2))).ok()?;
     let to = Daemon("store-2".into());
     one.learn(&to, &b.listen);
+    // One thread for each end, as in two daemons.
+    let (words, written) = tokio::sync::mpsc::unbounded_channel::<Vec<u8>>();
+    let (end, ended) = tokio::sync::oneshot::channel::<()>();
+    let (lines, sibling) = (one.clone(), to.clone());
+    let sends = std::thread::spawn(move || {
+        network()?.block_on(async move {
+            let (mut lines, mut written) = (wires::Lines::new(lines), written);
+            while let Some(frame) = written.recv().await {
+                lines.write(sibling.clone(), frame);
+            }
+            Some(())
+        })
+    });
+    let hears = std::thread::spawn(move || {
+        network()?.block_on(async move {
+            tokio::select! { _ = wires::serve(two, sockets, ring) => {}, _ = ended => {} }
+            Some(())
+        })
+    });
     let place = Place { tenant: "t".into(), waitlist: "w".into(), part: 0 };
     let body = Bytes::from(vec![7u8; len]);
     let say = || {
         let all = vec![(MessageId("event".into()), body.clone())];
-        one.say(to.clone(), Msg::Bodies { place: place.clone(), epoch: Epoch::ZERO, all });
-        heard.recv_timeout(Duration::from_secs(2)).is_ok()
+        let frame = one.frame(&to, Msg::Bodies { place: place.clone(), epoch: Epoch::ZERO, all });
+        let sent = frame.is_some_and(|f| words.send(f).is_ok());
+        sent && heard.recv_timeout(Duration::from_secs(2)).is_ok()
     };
     // The line is dialled with the first.
-    if !say() {
-        return None;
-    }
+    let ready = say();
     let began = process_nanos();
-    if !(0..FRAMES).all(|_| say()) {
-        return None;
-    }
-    Some((process_nanos() - began) as f64 / 1e3 / FRAMES as f64)
+    let all = ready && (0..FRAMES).all(|_| say());
+    let spent = process_nanos() - began;
+    drop(words);
+    let _ = end.send(());
+    let _ = (sends.join(), hears.join());
+    all.then(|| spent as f64 / 1e3 / FRAMES as f64)
+}
+
+fn network() -> Option<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().ok()
 }
--- a/crates/scale/src/axes/mod.rs
+++ b/crates/scale/src/axes/mod.rs
@@ -22,6 +22,8 @@
 pub const ALL: [(&str, Run); 14] = [
     ("members", members::run),
     ("reports", reports::run),
+    ("frames", frames::run),
+    ("beside", beside::run),
     ("daemons", daemons::run),
     ("partitions", partitions::run),
     ("routes", routes::run),
@@ -32,8 +34,6 @@
     ("messages", messages::run),
     ("backlog", backlog::run),
     ("take-over", take_over::run),
-    ("frames", frames::run),
-    ("beside", beside::run),
 ];
 
 /// The sizes of an axis; a quick run takes the smaller ones.
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -15,6 +15,8 @@
 const TRIP: Span = Span::millis(1);
 const SYNC: Span = Span::millis(2);
 const RUN: Span = Span::millis(5);
+/// Microseconds since 1970 when simulated time was nought.
+const WALL: u64 = 1_700_000_000_000_000;
 
 enum Ev {
     Clock,
@@ -142,6 +144,8 @@
                     platform: "10.0.0.1:80/workers".into(),
                     poll: Span::millis(times.poll),
                     seed,
+                    paged: false,
+                    list_rate: 0.0,
                 };
                 let (c, e) = Placement::new(s, files, mark_of(id), false, self.now);
                 (Box::new(c), e)
@@ -159,6 +163,7 @@
                     backoff: Span::millis(times.backoff),
                     backoff_max: Span::millis(times.backoff_max),
                     seed,
+                    wall: WALL + self.now.0,
                 };
                 let (c, e) = Store::new(s, &files, mark_of(id), self.now);
                 (Box::new(c), e)
@@ -178,6 +183,8 @@
                     seats: b.seats,
                     second: Span::millis(times.second_way),
                     limit: Span::millis(times.give_up),
+                    wall: WALL + self.now.0,
+                    now: self.now,
                 };
                 (Box::new(Proxy::new(s)), Vec::new())
             }
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -59,7 +59,7 @@
 struct RunLine {
     #[options(help = "show this help")]
     help: bool,
-    #[options(free, help = "axes; all when none is named")]
+    #[options(free, help = "axes, put into the file that --out names; all when none is named")]
     axes: Vec<String>,
     #[options(help = "the two smallest sizes of each axis only")]
     quick: bool,
@@ -90,6 +90,10 @@
         // Real processes are measured over seconds of real time; once is enough.
         if name != "beside" {
             for _ in 1..line.passes {
+                // What is left of the time goes to the axes not yet run.
+                if began.elapsed().as_secs() >= line.bound * 2 / 3 {
+                    break;
+                }
                 axis = axis.least(&run(line.quick));
             }
         }
@@ -109,7 +113,11 @@
     };
     eprintln!("{} s, {} MB resident after the largest axis", slopes.seconds, slopes.resident_mb);
     if let Some(path) = &line.out {
-        slopes.write(path)?;
+        let whole = match line.axes.is_empty() {
+            true => slopes,
+            false => Slopes::read(path)?.with(slopes),
+        };
+        whole.write(path)?;
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/scale/src/meter.rs
+++ b/crates/scale/src/meter.rs
@@ -30,6 +30,7 @@
         Msg::Need { .. } => "need with report",
         Msg::News { .. } => "news",
         Msg::NotPrimary { .. } => "not primary",
+        Msg::Primary { .. } => "primary",
         Msg::Room { .. } => "room",
         Msg::Offers { .. } => "offers",
         Msg::Settled { .. } => "settled",
@@ -40,7 +41,7 @@
 }
 
 /// What keeps the fleet together, with or without messages to carry.
-const CONTROL: [&str; 7] = ["hard", "beat", "doubts", "need", "need with report", "news", "not primary"];
+const CONTROL: [&str; 8] = ["hard", "beat", "doubts", "need", "need with report", "news", "not primary", "primary"];
 
 impl Meter {
     pub fn nanos(&self) -> u64 {
--- a/crates/scale/src/record.rs
+++ b/crates/scale/src/record.rs
@@ -119,6 +119,18 @@
         let text = std::fs::read_to_string(path).context(UnreadSnafu { path })?;
         serde_json::from_str(&text).context(FaultySnafu { path })
     }
+    /// These axes in place of their namesakes; all else stays.
+    pub fn with(mut self, some: Slopes) -> Slopes {
+        for a in some.axes {
+            match self.axes.iter_mut().find(|b| b.name == a.name) {
+                Some(b) => *b = a,
+                None => self.axes.push(a),
+            }
+        }
+        self.seconds += some.seconds;
+        self.resident_mb = self.resident_mb.max(some.resident_mb);
+        self
+    }
     pub fn write(&self, path: &Path) -> Result<(), RecordError> {
         let text = self.text().context(FaultySnafu { path })?;
         std::fs::write(path, text).context(UnwrittenSnafu { path })
--- a/crates/scale/src/target.rs
+++ b/crates/scale/src/target.rs
@@ -20,7 +20,7 @@
     Given { name, value, how: "in the code", what }
 }
 
-pub const ALL: [Given; 32] = [
+pub const ALL: [Given; 33] = [
     stated("daemons", 15_000.0, "daemons"),
     stated("events", 5.4e6, "events a second"),
     stated("destinations", 5e6, "destinations"),
@@ -46,7 +46,8 @@
     assumed("disk", 1e8, "bytes a second one log may write"),
     assumed("store-memory", 16e9, "bytes of memory a store may have for its index"),
     coded("store-bound", 150_000.0, "messages a store holds at most by default (bounds.messages)"),
-    coded("frame", 8_388_608.0, "bytes of the largest frame (FRAME_MAX)"),
+    coded("frame", dw_wire::prelude::FRAME_MAX as f64, "bytes of the largest frame (FRAME_MAX)"),
+    coded("commit", dw_placement::primary::COMMIT_MAX as f64, "bytes of the largest charter a primary commits (COMMIT_MAX)"),
     assumed("cells", 600.0, "cells of placement"),
     assumed("change-bytes", 300.0, "bytes of one difference, its version and its frame's part"),
     assumed("segment", 64e6, "bytes of a segment of a backlog on disk"),
