Capacity: what does not grow has slope nought, also in the record

Cause: a slope of -2e-18, rounding of a constant 412 ms, did not read back to the bit, and the test that each fit follows from its points failed.

--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -65,6 +65,10 @@
             (a.exp(), b)
         }
     };
+    // What only rounding made of a figure that does not grow is no slope.
+    let most = points.iter().map(|p| if form == Form::Square { p.0 * p.0 } else { p.0 }).fold(0.0, f64::max);
+    let flat = form != Form::Power && (b * most).abs() < 1e-9 * a.abs();
+    let b = if flat { 0.0 } else { b };
     let raw = Fit { form, a, b, residual: 0.0 };
     let off = |p: &(f64, f64)| ((p.1 - raw.at(p.0)) / p.1.abs().max(tiny)).powi(2);
     let residual = (points.iter().map(off).sum::<f64>() / points.len().max(1) as f64).sqrt();
--- a/crates/scale/src/record.rs
+++ b/crates/scale/src/record.rs
@@ -127,6 +127,9 @@
                 None => self.axes.push(a),
             }
         }
+        for f in self.axes.iter_mut().flat_map(|a| &mut a.figures) {
+            f.fit = fit(f.fit.form, &f.points);
+        }
         self.seconds += some.seconds;
         self.resident_mb = self.resident_mb.max(some.resident_mb);
         self
