--- a/crates/scale/src/axes/frames.rs
+++ b/crates/scale/src/axes/frames.rs
@@ -38,6 +38,7 @@
 fn exchange(len: usize) -> Option<f64> {
     let (a, b) = (startup("store-1", free_port()?)?, startup("store-2", free_port()?)?);
     let (ring, heard) = bounded(64);
+    let (cuts, _untold) = bounded(64);
     let (one, _unheard) = wires::bind(&a, a.member(Mark(1))).ok()?;
     let (two, sockets) = wires::bind(&b, b.member(Mark(2))).ok()?;
     let to = Daemon("store-2".into());
@@ -48,7 +49,7 @@
     let (lines, sibling) = (one.clone(), to.clone());
     let sends = std::thread::spawn(move || {
         network()?.block_on(async move {
-            let (mut lines, mut written) = (wires::Lines::new(lines), written);
+            let (mut lines, mut written) = (wires::Lines::new(lines, cuts), written);
             while let Some(frame) = written.recv().await {
                 lines.write(sibling.clone(), frame);
             }
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -163,6 +163,7 @@
                     backoff: Span::millis(times.backoff),
                     backoff_max: Span::millis(times.backoff_max),
                     seed,
+                    word: Span::millis(times.give_up + 100),
                     wall: WALL + self.now.0,
                 };
                 let (c, e) = Store::new(s, &files, mark_of(id), self.now);
