A message whose body is read back keeps its place in the line

Cause: what reached the head of its line with its body on disk only was set to come again a second later, and once read back was put in as due from then, so behind everything that had come meanwhile. The body stays 800 ms; a line longer than that had it gone again at the message's turn, and the round began anew.

Change: what waits for its body keeps when it was due, and has that place again once it is read. Lines of routes are as they were.

--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -213,7 +213,7 @@
             let p = self.parts.get_mut(place)?;
             let own = p.own.as_mut()?;
             let seq = match call {
-                true => own.lane.pop(Some(&line.name), now)?,
+                true => own.lane.pop(Some(&line.name), now)?.1,
                 false => own.lane.posts.get_mut(&line.name)?.pop(now)?,
             };
             let Some(r) = own.lane.ids.get(&seq).and_then(|id| p.recs.get(id)) else { continue };
