--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -217,7 +217,7 @@
         loop {
             let p = self.parts.get_mut(place)?;
             let own = p.own.as_mut()?;
-            let seq = match call {
+            let (due, seq) = match call {
                 true => own.lane.pop(Some(&line.name), now)?,
                 false => own.lane.posts.get_mut(&line.name)?.pop_fresh(fresh, now)?,
             };
@@ -242,7 +242,7 @@
                         continue;
                     }
                     later += 1;
-                    let who = Parked::Post { route: line.name.clone(), seq };
+                    let who = Parked::Post { route: line.name.clone(), due, seq };
                     if !self.park(place, &id, who) || later >= LATER_MAX {
                         return None;
                     }
