A message of which one copy's end is unknown is never told as refused

A keeper that closed said of a copy that it did not know; the edge, no other copy being open, told 503, and the next keeper ran it. Ruled out: the keeper's word; the copy that went around the cut. Change: the edge remembers the doubt; then only accepted or unknown is told, and no other name is tried.

--- a/crates/ingest/src/proxy/posts.rs
+++ b/crates/ingest/src/proxy/posts.rs
@@ -120,6 +120,7 @@
             sent: now,
             tried: BTreeSet::new(),
             post: Some(Bounds { second: SECOND, limit }),
+            doubt: false,
         };
         let n = self.next;
         self.next += 1;
@@ -141,8 +142,8 @@
     pub(super) fn post_elsewhere(&mut self, n: u64, now: Time) {
         let Some(c) = self.carries.get(&n) else { return };
         let Some(bounds) = c.post else { return };
-        if now.since(c.since) >= bounds.limit {
-            return self.not_kept(n);
+        if c.doubt || now.since(c.since) >= bounds.limit {
+            return self.give_up(n);
         }
         if !c.head.key.is_empty() {
             return;
--- /dev/null
+++ b/crates/ingest/tests/posts.rs
@@ -0,0 +1,124 @@
+//! What a proxy may tell of a routed message, by what its copies came to.
+use dw_ingest::prelude::*;
+
+const CHARTER: &str = r#"{"revision":1,"spool":2,
+  "services":[{"name":"s"}],
+  "routes":[{"name":"r","host":"h","prefix":"/a/","service":"s","attempts":3,"attempt_ms":1000,"verdict_ms":80},
+            {"name":"o","host":"h","prefix":"/o/","service":"s","ordered":true,"attempts":3,"attempt_ms":1000,"verdict_ms":80}]}"#;
+
+fn member(id: &str, zone: &str) -> Member {
+    let (id, zone) = (Daemon(id.into()), Zone(zone.into()));
+    Member { id, zone, addr: "10.0.0.1:1".into(), http: String::new(), life: Mark(7), disk: Mark(0) }
+}
+
+fn proxy(now: Time) -> Proxy {
+    let startup = Startup {
+        me: member("proxy-1", "z1"),
+        agent: Daemon("agent-1".into()),
+        pull: Span::millis(400),
+        terms: Terms::default(),
+        seats: 64,
+        second: Span::millis(400),
+        limit: Span::secs(2),
+        wall: 1,
+        now,
+    };
+    let mut p = Proxy::new(startup);
+    let v = Version { term: Term(1), count: 1 };
+    let placing = |d: &str| Placing { keeper: Daemon(d.into()), epoch: v };
+    let places = vec![(Rules::spool_place(0), placing("store-1")), (Rules::spool_place(1), placing("store-2"))];
+    let items = vec![
+        (v, Item::Charter(CHARTER.into())),
+        (v, Item::Members(vec![member("store-1", "z1"), member("store-2", "z1"), member("store-3", "z2")])),
+        (v, Item::Places(places)),
+    ];
+    let fresh = Some(Span::secs(60));
+    let msg = Msg::News { asked: now, term: Term(1), fresh, items, grants: Vec::new(), late: Vec::new() };
+    p.step(Event::Hear { from: Daemon("agent-1".into()), msg }, now);
+    p
+}
+
+/// The copies sent: their numbers, the stores, and the message's name.
+fn copies(out: &[Effect]) -> Vec<(u64, Daemon, MessageId)> {
+    let one = |e: &Effect| match e {
+        Effect::Say(to, Msg::Carry { ask, head, .. }) => Some((*ask, to.clone(), head.id.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(one).collect()
+}
+
+fn told(out: &[Effect]) -> Option<u16> {
+    out.iter().find_map(|e| match e {
+        Effect::Tell(_, v) => Some(v.code),
+        _ => None,
+    })
+}
+
+fn post(p: &mut Proxy, path: &str, key: &str, now: Time) -> Vec<Effect> {
+    let parcel = Parcel {
+        method: "POST".into(),
+        path: path.into(),
+        host: "h".into(),
+        id: "x".into(),
+        key: key.into(),
+        ..Parcel::default()
+    };
+    let ask = Ask::Post { parcel: Box::new(parcel), delay: Span::ZERO, desk: String::new(), body: Bytes::from_static(b"b") };
+    p.step(Event::Ask(AskId(1), ask), now)
+}
+
+fn word(p: &mut Proxy, copy: &(u64, Daemon, MessageId), word: Carried, now: Time) -> Vec<Effect> {
+    let msg = Msg::Carried { ask: copy.0, proxy: Daemon("proxy-1".into()), via: None, word, clock: None };
+    p.step(Event::Hear { from: copy.1.clone(), msg }, now)
+}
+
+#[test]
+fn a_copy_of_which_nobody_knows_is_never_called_not_taken() {
+    let now = Time::millis(1_000_000);
+    for path in ["/a/1", "/o/1"] {
+        let mut p = proxy(now);
+        let out = post(&mut p, path, "k", now);
+        let first = copies(&out);
+        assert_eq!(first.len(), 1);
+        let out = word(&mut p, &first[0], Carried::Unknown, now);
+        assert_eq!(told(&out), Some(504), "{path}");
+    }
+}
+
+#[test]
+fn nor_after_another_copy_was_written_nowhere() {
+    let now = Time::millis(1_000_000);
+    for last in [Carried::Elsewhere, Carried::NotTaken { why: "full".into(), after: Span::ZERO, code: 503 }] {
+        let mut p = proxy(now);
+        let first = copies(&post(&mut p, "/a/1", "", now));
+        // No word for a while: a second copy goes another way.
+        let later = now + Span::millis(200);
+        let second = copies(&p.step(Event::Clock, later));
+        assert_eq!(second.len(), 1);
+        assert_eq!(told(&word(&mut p, &first[0], Carried::Unknown, later)), None);
+        let out = word(&mut p, &second[0], last, later);
+        assert_eq!(told(&out), Some(504));
+        assert!(copies(&out).is_empty(), "sent under another name though it may be written");
+    }
+}
+
+#[test]
+fn what_was_written_nowhere_goes_to_another_partition_under_another_name() {
+    let now = Time::millis(1_000_000);
+    let mut p = proxy(now);
+    let first = copies(&post(&mut p, "/a/1", "", now));
+    let again = copies(&word(&mut p, &first[0], Carried::Elsewhere, now));
+    assert_eq!(again.len(), 1);
+    assert_ne!((&first[0].1, &first[0].2), (&again[0].1, &again[0].2));
+    let out = word(&mut p, &again[0], Carried::Accepted { stage: Stage::Work }, now);
+    assert_eq!(told(&out), Some(202));
+}
+
+#[test]
+fn a_refusal_of_the_only_copy_is_told_as_it_is() {
+    let now = Time::millis(1_000_000);
+    let mut p = proxy(now);
+    let first = copies(&post(&mut p, "/a/1", "", now));
+    let out = word(&mut p, &first[0], Carried::NotTaken { why: "full".into(), after: Span::secs(1), code: 503 }, now);
+    assert_eq!(told(&out), Some(503));
+}
