Voters of the placement group follow the machines, by joint consensus

A wiped member was expelled and then admitted: two commits with a group of two between them, in which a second loss stops everything.

Change: a replica that hears no leader announces itself (Join) to its seeds and to the voters it knows; the leader catches it up as a learner, and a policy (crates/election/src/membership_policy.rs) decides the next voters: a wiped voter's new mark, a replacement for one that is silent 2 s or about to stop, growth by odd steps to 2f+1, zones apart. Changes go by joint consensus. The configuration carries addresses, so a group that restarts whole finds itself whatever the seed lists say. A voter that stops waits until its vote is held elsewhere. Votes no longer need the voter's own log to name it. Other daemons learn the voters as news (Source::Replicas) and are redirected with an address.

State of the version before is read (tests/earlier_format.rs).

Ruled out: one change of one member at a time (even sizes on the way bear less); shrinking the group when voters are gone (it would hold the state on fewer machines than may be lost).

Tests: crates/election/tests (19). One replaced: "a lost disk is amnesia..." required the readmitted replica to be a follower at the end; it may by now rightly have been elected. The new one checks instead that nothing at all is committed while it does not count, and that it is a voter afterwards.

--- /dev/null
+++ b/crates/election/src/hard_state.rs
@@ -0,0 +1,109 @@
+//! What a replica keeps on disk.
+use crate::prelude::*;
+use bytes::Bytes;
+
+/// What one log entry does. The aliases are the names of the version before.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command<C> {
+    /// Opens a term, so that entries of earlier terms can be committed.
+    #[serde(alias = "Open")]
+    Noop,
+    /// Puts this configuration in force, from the moment it is in the log.
+    Configure(Configuration),
+    /// A command of the state machine above.
+    #[serde(alias = "Do")]
+    Apply(C),
+    /// Only read, never written: see [`crate::earlier_format`].
+    Admit(Daemon, Mark),
+    /// Only read, never written: see [`crate::earlier_format`].
+    Expel(Daemon),
+}
+
+/// One entry of the log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry<C> {
+    pub term: Term,
+    #[serde(alias = "item")]
+    pub command: Command<C>,
+}
+
+/// The state of everything up to and including `index`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub index: u64,
+    pub term: Term,
+    /// The configuration in force at `index`.
+    #[serde(alias = "members")]
+    pub configuration: Configuration,
+    /// The applied state of the state machine above, in its own encoding.
+    pub data: Bytes,
+}
+
+/// The whole durable state, written as one version of one file.
+///
+/// Invariants: a vote belongs to `term`; `log[0]` is entry
+/// `snapshot.index + 1`; `founded` is false only in a data directory that has
+/// never held a state of the group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HardState<C> {
+    pub mark: Mark,
+    pub founded: bool,
+    pub term: Term,
+    pub vote: Option<Daemon>,
+    #[serde(alias = "base")]
+    pub snapshot: Snapshot,
+    pub log: Vec<Entry<C>>,
+}
+
+impl<C> HardState<C> {
+    /// The state of an empty data directory.
+    pub fn fresh(mark: Mark) -> HardState<C> {
+        HardState { mark, founded: false, term: Term(0), vote: None, snapshot: Snapshot::default(), log: Vec::new() }
+    }
+    /// The index of the last entry.
+    pub fn last_index(&self) -> u64 {
+        self.snapshot.index + self.log.len() as u64
+    }
+    /// The term of the last entry.
+    pub fn last_term(&self) -> Term {
+        self.log.last().map_or(self.snapshot.term, |entry| entry.term)
+    }
+    /// The term of an entry, where it is still known.
+    pub fn term_at(&self, index: u64) -> Option<Term> {
+        if index == self.snapshot.index {
+            return Some(self.snapshot.term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+    /// An entry that the snapshot does not cover.
+    pub fn entry(&self, index: u64) -> Option<&Entry<C>> {
+        let offset = index.checked_sub(self.snapshot.index + 1)?;
+        self.log.get(offset as usize)
+    }
+    /// The latest configuration up to `index`, and the index of its entry.
+    pub fn configuration_at(&self, index: u64) -> (u64, &Configuration) {
+        let known = index.saturating_sub(self.snapshot.index) as usize;
+        let entries = self.log.iter().take(known).enumerate().rev();
+        let latest = entries.into_iter().find_map(|(offset, entry)| match &entry.command {
+            Command::Configure(configuration) => Some((self.snapshot.index + 1 + offset as u64, configuration)),
+            _ => None,
+        });
+        latest.unwrap_or((self.snapshot.index, &self.snapshot.configuration))
+    }
+    /// Drops every entry from `index` on.
+    pub fn truncate_from(&mut self, index: u64) {
+        self.log.truncate(index.saturating_sub(self.snapshot.index + 1) as usize);
+    }
+    /// Takes over a snapshot that is newer than the state held. Entries behind
+    /// it are kept where the log agrees with it: they may have been
+    /// acknowledged, and the leader may already count on them.
+    pub fn install(&mut self, snapshot: Snapshot) {
+        let agrees = self.founded && self.term_at(snapshot.index) == Some(snapshot.term);
+        match agrees {
+            true => drop(self.log.drain(..(snapshot.index - self.snapshot.index) as usize)),
+            false => self.log.clear(),
+        }
+        self.snapshot = snapshot;
+        self.founded = true;
+    }
+}
--- /dev/null
+++ b/crates/election/src/progress.rs
@@ -0,0 +1,82 @@
+//! What the leader knows of one other replica.
+use crate::prelude::*;
+
+/// A replica as the leader follows it, voter or learner.
+pub(crate) struct Progress {
+    /// The next entry to send.
+    pub next: u64,
+    /// The last entry known to be durable there and equal to ours.
+    pub matched: u64,
+    /// The data directory that `matched` speaks of.
+    pub mark: Mark,
+    /// The latest request, by our clock when it was sent, that was answered.
+    pub heard: Time,
+    /// It asked for the snapshot, or what it lacks is no longer in the log.
+    pub needs_snapshot: bool,
+    /// It answered since it was last silent: entries may be sent to it.
+    pub replicating: bool,
+    /// As it announced itself; `None` for a voter that never had to.
+    pub announced: Option<Voter>,
+    /// When it last said that it is about to stop.
+    pub left: Option<Time>,
+    /// When it was first followed, or last announced itself.
+    pub since: Time,
+}
+
+impl Progress {
+    pub fn new(next: u64, now: Time) -> Progress {
+        Progress {
+            next,
+            matched: 0,
+            mark: Mark(0),
+            heard: Time(0),
+            needs_snapshot: false,
+            replicating: false,
+            announced: None,
+            left: None,
+            since: now,
+        }
+    }
+
+    /// How long it has not answered.
+    pub fn silent_for(&self, now: Time) -> Span {
+        now.since(self.heard.max(self.since))
+    }
+
+    /// Takes the mark and time of an answer; says whether the answer counts.
+    /// A late answer of an earlier data directory is dropped.
+    pub fn observe(&mut self, mark: Mark, sent: Time) -> bool {
+        if self.mark != mark {
+            if self.mark != Mark(0) && sent <= self.heard {
+                return false;
+            }
+            // What the earlier directory held is gone.
+            self.mark = mark;
+            self.matched = 0;
+            self.left = None;
+        }
+        self.heard = self.heard.max(sent);
+        true
+    }
+
+    /// Takes the outcome of a request, in a log that ends at `last_index`.
+    pub fn advance(&mut self, outcome: AppendOutcome, last_index: u64) {
+        self.replicating = true;
+        match outcome {
+            AppendOutcome::Accepted { matched } => {
+                self.matched = self.matched.max(matched);
+                self.next = self.matched.min(last_index) + 1;
+                self.needs_snapshot = false;
+            }
+            AppendOutcome::Mismatch { hint } => {
+                self.next = hint.min(last_index) + 1;
+                self.matched = self.matched.min(hint);
+            }
+            AppendOutcome::NeedsSnapshot => {
+                self.needs_snapshot = true;
+                self.matched = 0;
+            }
+            AppendOutcome::StaleTerm => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/election/tests/membership.rs
@@ -0,0 +1,242 @@
+//! Changes of the voters: replacement, growth, planned leave, and what the
+//! group bears right after each.
+mod harness;
+use harness::*;
+
+/// How long after its start a replacement has to carry the vote: the platform
+/// promises no further loss for a little over four seconds.
+const SYNCED_AFTER: u64 = 4_000;
+
+#[test]
+fn three_replacements_in_a_row_each_bear_another_loss_right_after() {
+    for seed in 1..40 {
+        let mut group = Group::new(seed);
+        for number in 1..=3 {
+            let (lost, new) = (name(number), name(number + 3));
+            assert!(group.propose(number as u32));
+            group.remove(&lost);
+            group.run(1_000);
+            // Settings name machines that ran when they were written.
+            group.seeds = group.nodes.keys().cloned().collect();
+            group.start_empty(&new, false);
+            group.run(SYNCED_AFTER);
+            assert!(group.voters().contains(&new), "seed {seed}: {new} carries no vote: {:?}", group.voters());
+            assert!(!group.voters().contains(&lost), "seed {seed}");
+            // One more voter is lost for a while, leader or not.
+            let second = group.voters().into_iter().find(|d| (seed % 2 == 0) == (Some(d) == group.leader().as_ref())).unwrap();
+            group.stop(&second);
+            group.run(5_000);
+            assert!(group.propose(10 + number as u32), "seed {seed}: {second} lost after {new} came");
+            group.start(&second, false);
+            group.run(SYNCED_AFTER);
+        }
+        group.run(1_000);
+        for daemon in (4..=6).map(name) {
+            assert_eq!(group.applied(&daemon).last(), Some(&13), "seed {seed} {daemon}");
+        }
+    }
+}
+
+#[test]
+fn a_wiped_voter_is_readmitted_in_one_step_and_the_next_wipe_is_borne() {
+    for seed in 1..30 {
+        let mut group = Group::new(seed);
+        for round in 0..6u32 {
+            assert!(group.propose(round));
+            let wiped = name(u64::from(round) % 3 + 1);
+            let mark = group.start_empty(&wiped, false);
+            group.run(SYNCED_AFTER);
+            let leader = group.leader().unwrap_or_else(|| panic!("seed {seed} round {round}: no leader"));
+            assert!(group.nodes[&leader].replica.configuration().is_voter(&wiped, mark), "seed {seed} round {round}");
+            assert_eq!(group.voters().len(), 3);
+        }
+    }
+}
+
+#[test]
+fn a_group_that_must_bear_two_losses_grows_to_five_and_bears_them() {
+    for seed in 1..20 {
+        let mut group = Group::unfounded(seed);
+        group.policy = MembershipPolicy::tolerating(2);
+        for number in 1..=7 {
+            group.start_empty(&name(number), true);
+        }
+        group.run(6_000);
+        assert_eq!(group.voters().len(), 5, "seed {seed}");
+        let zones: Vec<Zone> = group.voters().iter().map(|d| zone_of(d, 3)).collect();
+        for zone in &zones {
+            assert!(zones.iter().filter(|z| *z == zone).count() <= 2, "seed {seed}: a zone holds a majority: {zones:?}");
+        }
+        let leader = group.leader().unwrap();
+        let other = group.voters().into_iter().find(|d| *d != leader).unwrap();
+        group.remove(&leader);
+        group.remove(&other);
+        group.run(4_000);
+        assert!(group.propose(1), "seed {seed}");
+        group.run(4_000);
+        assert_eq!(group.voters().len(), 5, "seed {seed}: spares take the seats");
+        assert!(!group.voters().contains(&leader) && !group.voters().contains(&other));
+    }
+}
+
+#[test]
+fn a_spare_takes_no_seat_while_all_voters_answer() {
+    let mut group = Group::new(5);
+    group.start_empty(&name(4), false);
+    group.run(10_000);
+    assert_eq!(group.voters(), (1..=3).map(name).collect::<Vec<_>>());
+    assert_eq!(group.nodes[&name(4)].replica.role(), Role::Learner);
+    assert!(group.propose(1));
+    group.run(1_000);
+    assert_eq!(group.applied(&name(4)), [1]);
+}
+
+#[test]
+fn a_voter_that_stops_waits_until_another_holds_its_vote() {
+    for seed in 1..30 {
+        for leader_leaves in [false, true] {
+            let mut group = Group::new(seed);
+            group.start_empty(&name(4), false);
+            group.run(2_000);
+            assert!(group.propose(1));
+            let leaving = if leader_leaves { group.leader().unwrap() } else { group.follower() };
+            let leaving = if leaving == name(4) { name(2) } else { leaving };
+            let now = group.now;
+            let actions = group.nodes.get_mut(&leaving).unwrap().replica.leave(now);
+            group.carry_out(&leaving, actions);
+            let mut waited = 0;
+            while !group.nodes[&leaving].replica.may_stop(group.now) {
+                group.run(50);
+                waited += 50;
+                assert!(waited <= 3_000, "seed {seed}");
+            }
+            group.remove(&leaving);
+            group.run(200);
+            // Right after, another loss: the group still has its majority.
+            let second = group.nodes.keys().find(|d| **d != name(4)).cloned().unwrap();
+            group.stop(&second);
+            group.run(4_000);
+            assert!(group.propose(2), "seed {seed}, leader leaves: {leader_leaves}, waited {waited}");
+        }
+    }
+}
+
+#[test]
+fn a_voter_that_nobody_can_replace_stops_at_once() {
+    let mut group = Group::new(9);
+    let leaving = group.follower();
+    let now = group.now;
+    let actions = group.nodes.get_mut(&leaving).unwrap().replica.leave(now);
+    group.carry_out(&leaving, actions);
+    assert!(group.nodes[&leaving].replica.may_stop(group.now));
+}
+
+#[test]
+fn an_old_voter_that_comes_back_can_neither_vote_nor_lead_nor_disturb() {
+    for seed in 1..30 {
+        let mut group = Group::new(seed);
+        let old = name(1);
+        let disk = group.disks[&old].clone();
+        group.remove(&old);
+        group.run(500);
+        group.start_empty(&name(4), false);
+        group.run(SYNCED_AFTER + 2_000);
+        let (leader, term) = (group.leader().unwrap(), group.nodes[&group.leader().unwrap()].replica.term());
+        // It comes back with its old disk, at its old address.
+        group.disks.insert(old.clone(), disk);
+        group.start(&old, false);
+        group.run(8_000);
+        assert_eq!(group.leader(), Some(leader.clone()), "seed {seed}: it unseated the leader");
+        assert_eq!(group.nodes[&leader].replica.term(), term, "seed {seed}: it raised the term");
+        assert_eq!(group.nodes[&old].replica.role(), Role::Learner, "seed {seed}");
+    }
+}
+
+/// Two voters and the spare are cut off from the old leader, which is then
+/// replaced; its lease is over long before, and after the cut it follows.
+#[test]
+fn a_leader_that_was_cut_off_for_twenty_seconds_comes_back_as_a_learner() {
+    for seed in 1..20 {
+        let mut group = Group::new(seed);
+        group.start_empty(&name(4), false);
+        group.run(2_000);
+        let old = group.leader().unwrap();
+        assert!(group.propose(1));
+        group.isolate(&old);
+        group.run(20_000);
+        assert!(group.propose(2), "seed {seed}");
+        assert!(!group.nodes[&old].replica.may_act(group.now));
+        group.cut.clear();
+        group.run(6_000);
+        assert!(group.propose(3));
+        group.run(1_000);
+        assert_eq!(group.applied(&old), [1, 2, 3], "seed {seed}");
+        assert_eq!(group.voters().len(), 3);
+    }
+}
+
+/// All founding machines are gone, the settings still name them, and power is
+/// lost everywhere: the configuration itself says where everyone is.
+#[test]
+fn a_group_whose_seeds_are_all_gone_finds_itself_after_a_total_restart() {
+    let mut group = Group::new(21);
+    for number in 1..=3 {
+        group.remove(&name(number));
+        group.run(500);
+        if number == 3 {
+            group.seeds = vec![name(3), name(2), name(5)];
+        }
+        group.start_empty(&name(number + 3), false);
+        group.run(SYNCED_AFTER);
+    }
+    assert!(group.propose(1));
+    group.run(500);
+    for number in 4..=6 {
+        group.stop(&name(number));
+    }
+    for number in 4..=6 {
+        group.start(&name(number), false);
+    }
+    group.run(5_000);
+    assert!(group.propose(2));
+    group.run(500);
+    assert_eq!(group.applied(&name(5)), [1, 2]);
+}
+
+/// The joint configuration reached the one voter that is left and not yet the
+/// learner that it makes a voter: the learner's vote has to count all the same.
+#[test]
+fn a_learner_that_does_not_know_yet_that_it_votes_still_grants_its_vote() {
+    let mut group = Group::new(2);
+    group.start_empty(&name(4), false);
+    group.run(2_000);
+    let now = group.now + Span::secs(60);
+    let spare = &mut group.nodes.get_mut(&name(4)).unwrap().replica;
+    let (term, last_index) = (Term(spare.term().0 + 1), spare.commit() + 1);
+    let request = Message::VoteRequest { pre_vote: false, term, last_index, last_term: term };
+    let actions = spare.receive(name(2), request, now);
+    let granted = actions.iter().any(|action| matches!(action, Action::Persist(_, state) if state.vote == Some(name(2))));
+    assert!(granted, "{actions:?}");
+}
+
+/// An answer of a data directory that is gone arrives after one of the new.
+#[test]
+fn a_late_answer_of_a_lost_disk_does_not_count_again() {
+    let mut group = Group::new(4);
+    let leader = group.leader().unwrap();
+    let wiped = group.follower();
+    let old_mark = group.disks[&wiped].mark;
+    assert!(group.propose(1));
+    let sent = group.now;
+    group.run(500);
+    let mark = group.start_empty(&wiped, false);
+    group.run(4_000);
+    let term = group.nodes[&leader].replica.term();
+    let late = Message::AppendResponse { term, outcome: AppendOutcome::Accepted { matched: 1_000 }, mark: old_mark, sent };
+    let now = group.now;
+    let actions = group.nodes.get_mut(&leader).unwrap().replica.receive(wiped.clone(), late, now);
+    group.carry_out(&leader, actions);
+    group.run(2_000);
+    assert_eq!(group.leader(), Some(leader.clone()));
+    assert!(group.nodes[&leader].replica.configuration().is_voter(&wiped, mark));
+}
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! Three placement cores and the stores and deliveries around them, driven by
 //! steps alone: words arrive at once, saves end at once, no clock is read.
 #![allow(dead_code)]
-use dw_election::prelude::Item as LogItem;
+use dw_election::prelude::Command;
 pub use dw_placement::prelude::*;
 pub use serde_json::{json, Value};
 pub const REACHES: usize = dw_types::id::REACHES as usize;
@@ -102,9 +102,10 @@
         let names = (1..=3).map(|n| daemon(&format!("placement-{n}")));
         let startup = Startup {
             me: member(id.as_str(), &id.as_str().replace("placement-", "z")),
-            siblings: names.filter(|d| d != id).collect(),
+            seeds: names.collect(),
+            policy: MembershipPolicy::default(),
             terms: Terms::default(),
-            election: ElectionPace::default(),
+            election: ElectionTiming::default(),
             window: Span::millis(1000),
             hold: Span::millis(3200),
             charter_lease: Span::millis(2500),
@@ -297,8 +298,8 @@
     /// Charters that stand in the log of the primary, done or not.
     pub fn charters_logged(&self) -> usize {
         let files = &self.disks[&self.primary().expect("a primary")];
-        let stored: Stored<Order> = decode(files.values().last().expect("a file")).expect("readable");
-        stored.log.iter().filter(|e| matches!(&e.item, LogItem::Do(Order::Charter { .. }))).count()
+        let stored: HardState<Order> = decode(files.values().last().expect("a file")).expect("readable");
+        stored.log.iter().filter(|e| matches!(&e.command, Command::Apply(Order::Charter { .. }))).count()
     }
     pub fn committed(&self) -> u64 {
         self.cores.values().map(|c| c.election.commit()).max().unwrap_or(0)
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::thread_time::{nanos, reading_cost};
 use dw_delivery::prelude::{Delivery, Startup as Carrier};
 use dw_ingest::prelude::{Agent, Proxy, Startup as Edge};
-use dw_placement::prelude::{ElectionPace, Hard, Placement, Startup as Placer};
+use dw_placement::prelude::{ElectionTiming, Hard, MembershipPolicy, Placement, Startup as Placer};
 use dw_shell::prelude::{Bounds, Times};
 use dw_waitlist::prelude::{Startup as Keeper, Store};
 use std::collections::HashMap;
@@ -134,10 +134,11 @@
         match id.kind() {
             Kind::Placement => {
                 let s = Placer {
-                    siblings: seeds.into_iter().filter(|d| d != id).collect(),
+                    seeds,
+                    policy: MembershipPolicy::default(),
                     me,
                     terms,
-                    election: ElectionPace::default(),
+                    election: ElectionTiming::default(),
                     window: Span::millis(times.window),
                     hold: Span::millis(times.hold),
                     charter_lease: Span::millis(times.charter_lease),
--- a/crates/scale/src/meter.rs
+++ b/crates/scale/src/meter.rs
@@ -23,7 +23,7 @@
 
 pub fn kind_of(m: &Msg) -> &'static str {
     match m {
-        Msg::Hard(_) => "hard",
+        Msg::Consensus(_) => "consensus",
         Msg::Beat(_) => "beat",
         Msg::Doubts { .. } => "doubts",
         Msg::Need { report: None, .. } => "need",
--- a/crates/scale/src/shape.rs
+++ b/crates/scale/src/shape.rs
@@ -2,7 +2,7 @@
 //! state they were taken in by.
 use crate::prelude::*;
 use dw_charter::prelude::Charter;
-use dw_election::prelude::{Base, Stored};
+use dw_election::prelude::{Configuration, HardState, Snapshot, Voter};
 use dw_placement::prelude::Hard;
 use serde_json::{json, Value};
 
@@ -149,10 +149,14 @@
 
     /// One placement daemon's folder.
     pub fn folder(&self, d: &Daemon, hard: &Hard) -> Vec<(String, Bytes)> {
-        let members = self.seeds().iter().map(|d| (d.clone(), mark_of(d))).collect();
-        let data = dw_election::log::bytes_lite::Blob(encode(hard));
-        let base = Base { index: 8, term: Term(1), members, data };
-        let stored: Stored<Order> = Stored { mark: mark_of(d), founded: true, term: Term(1), vote: None, base, log: Vec::new() };
+        let voter = |seed: &Daemon| {
+            let member = self.member(seed);
+            Voter { mark: mark_of(seed), address: member.addr, zone: member.zone }
+        };
+        let configuration = Configuration::of(self.seeds().iter().map(|seed| (seed.clone(), voter(seed))).collect());
+        let snapshot = Snapshot { index: 8, term: Term(1), configuration, data: encode(hard).into() };
+        let stored: HardState<Order> =
+            HardState { mark: mark_of(d), founded: true, term: Term(1), vote: None, snapshot, log: Vec::new() };
         vec![(format!("hard-{:016x}", 1), Bytes::from(encode(&stored)))]
     }
 
