Stores that are gone are replaced by themselves, whole machines are retired

Cause: a write set kept a store that was gone for ever, so that the next loss left no majority; a machine that had gone also made every take-over wait its whole window; and the platform's order to empty a storage machine was not known.

Change: a store silent for 2 s is replaced by a newcomer, after 5 s by any spare, never so that a zone gets more seats of a write set than before. Silence counts only while the primary works without a break. Each replacement has a number; a keeper reports copies under it, and a copy of an earlier replacement of the same stores, which may lack what was counted with the old store since, moves no seat. While an order to move a seat is under way, the one that leaves stays uncounted. Members without a seat are forgotten after 30 s of silence. Retiring no longer waits for the balancer's second.

Ruled out: a committed order for silence (it is volatile, and wrong after a take-over); moving seats into a zone that has one (a zone's loss then takes two).

--- a/crates/ingest/tests/posts.rs
+++ b/crates/ingest/tests/posts.rs
@@ -8,7 +8,7 @@
 
 fn member(id: &str, zone: &str) -> Member {
     let (id, zone) = (Daemon(id.into()), Zone(zone.into()));
-    Member { id, zone, addr: "10.0.0.1:1".into(), http: String::new(), life: Mark(7), disk: Mark(0) }
+    Member { id, zone, addr: "10.0.0.1:1".into(), http: String::new(), life: Mark(7), disk: Mark(0), machine: String::new() }
 }
 
 fn proxy(now: Time) -> Proxy {
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -21,6 +21,11 @@
     /// Attempts are in hand: nothing is given up.
     pub busy: bool,
     pub unheard: Vec<Duty>,
+    /// Replacements it was told of as keeper: who leaves, who joins, and the
+    /// number that its report names.
+    pub swaps: BTreeMap<Place, (Daemon, Daemon, Version)>,
+    /// Joiners are whole as soon as they are named.
+    pub copies: bool,
     heard: (Term, Time),
     have: Vector,
     due: Time,
@@ -46,6 +51,11 @@
     Daemon(name.to_string())
 }
 
+/// The mark of a daemon's data folder.
+pub fn disk_of(name: &str) -> Mark {
+    Mark(hash_of(name.as_bytes()))
+}
+
 pub fn member(name: &str, zone: &str) -> Member {
     Member {
         id: daemon(name),
@@ -53,7 +63,8 @@
         addr: format!("{name}:1"),
         http: format!("{name}:80"),
         life: Mark(1),
-        disk: Mark(hash_of(name.as_bytes())),
+        disk: disk_of(name),
+        machine: format!("machine-of-{name}"),
     }
 }
 
@@ -129,6 +140,8 @@
             gave: Vec::new(),
             busy: false,
             unheard: Vec::new(),
+            swaps: BTreeMap::new(),
+            copies: true,
             heard: (Term(0), Time(0)),
             have: Vector::default(),
             due,
@@ -178,6 +191,12 @@
         let end = Terms::default().holder_end(asked);
         f.shed = grants.iter().filter(|g| g.shed).map(|g| g.duty.clone()).collect();
         for g in grants {
+            if let Duty::Keep(place) = &g.duty {
+                match &g.swap {
+                    Some((out, joiner)) => f.swaps.insert(place.clone(), (out.clone(), joiner.clone(), g.swap_number)),
+                    None => f.swaps.remove(place),
+                };
+            }
             if !f.gave.contains(&(g.duty.clone(), g.epoch)) {
                 f.held.insert(g.duty, (g.epoch, end));
             }
@@ -197,7 +216,12 @@
         f.due = now + PULL;
         f.held.retain(|_, x| now < x.1);
         let claims = f.held.iter().map(|(d, x)| Claim { duty: d.clone(), epoch: x.0, checkpoint: false }).collect();
-        let report = Report { claims, gave: f.gave.clone(), unheard: f.unheard.clone(), ..Report::default() };
+        let kept: BTreeSet<&Place> = f.held.keys().filter_map(|d| if let Duty::Keep(p) = d { Some(p) } else { None }).collect();
+        f.swaps.retain(|place, _| kept.contains(place));
+        let swaps = f.swaps.iter().map(|(place, s)| (place.clone(), s.2)).collect();
+        let copied = f.swaps.iter().filter(|_| f.copies);
+        let whole = copied.map(|(place, s)| (place.clone(), s.1.clone(), disk_of(s.1.as_str()))).collect();
+        let report = Report { claims, gave: f.gave.clone(), unheard: f.unheard.clone(), whole, swaps, ..Report::default() };
         let need = |f: &Fake| Msg::Need {
             asked: now,
             heard: f.heard,
--- /dev/null
+++ b/crates/placement/tests/replacement.rs
@@ -0,0 +1,219 @@
+//! Stores that are gone for good: their seats find new homes by themselves,
+//! and nothing moves for a short silence.
+mod fleet;
+use fleet::*;
+
+/// The bound from a replacement's start to the next loss, less a margin.
+const REPLACED_MS: u64 = 3_000;
+
+fn spooled(stores: usize) -> Fleet {
+    let mut f = Fleet::whole();
+    for n in 4..=stores {
+        f.add(&format!("store-{n}"), &format!("z{}", (n - 1) % 3 + 1));
+    }
+    f.run(2_000);
+    assert_eq!(f.put(0, &first()).code, 200);
+    f.run(6_000);
+    f
+}
+
+fn hard(f: &Fleet) -> &Hard {
+    &f.cores[&f.primary().expect("a primary")].hard
+}
+
+fn seats(f: &Fleet, store: &str) -> usize {
+    hard(f).layout.values().filter(|set| set.iter().any(|s| s.0 == daemon(store))).count()
+}
+
+fn swaps(f: &Fleet) -> usize {
+    f.fakes.values().map(|x| x.swaps.len()).sum()
+}
+
+fn lose(f: &mut Fleet, store: &str) -> Fake {
+    f.fakes.remove(&daemon(store)).expect("a daemon")
+}
+
+/// The daemon comes back with its disk, in a new life.
+fn return_with_disk(f: &mut Fleet, mut fake: Fake) {
+    fake.me.life = Mark(fake.me.life.0 + 1);
+    fake.held.clear();
+    fake.swaps.clear();
+    f.fakes.insert(fake.me.id.clone(), fake);
+}
+
+fn copying(f: &mut Fleet, on: bool) {
+    f.fakes.values_mut().for_each(|x| x.copies = on);
+}
+
+#[test]
+fn a_replacement_gets_the_seats_of_the_store_that_is_gone() {
+    let mut f = spooled(3);
+    let all = seats(&f, "store-1");
+    assert_eq!(all, 6);
+    lose(&mut f, "store-1");
+    f.run(3_000);
+    assert_eq!(seats(&f, "store-1"), all, "nobody could take them");
+    f.add("store-4", "z1");
+    let took = f.until(REPLACED_MS, |f| seats(f, "store-1") == 0);
+    assert_eq!(seats(&f, "store-4"), all, "after {took} ms");
+}
+
+#[test]
+fn spares_take_the_seats_of_a_store_that_stays_away() {
+    let mut f = spooled(6);
+    assert!(seats(&f, "store-1") > 0);
+    lose(&mut f, "store-1");
+    f.until(8_000, |f| seats(f, "store-1") == 0);
+    for set in hard(&f).layout.values() {
+        let zones: BTreeSet<&Zone> = set.iter().map(|s| &hard(&f).members[&s.0].zone).collect();
+        assert_eq!(zones.len(), 3, "{set:?}");
+    }
+}
+
+#[test]
+fn a_short_restart_moves_nothing_where_there_are_spares() {
+    let mut f = spooled(6);
+    f.run(10_000);
+    let before = hard(&f).layout.clone();
+    for _ in 0..3 {
+        let fake = lose(&mut f, "store-1");
+        for _ in 0..40 {
+            f.run(50);
+            assert_eq!(swaps(&f), 0);
+        }
+        return_with_disk(&mut f, fake);
+        f.run(1_000);
+    }
+    assert_eq!(hard(&f).layout, before);
+}
+
+#[test]
+fn a_store_that_comes_back_in_time_keeps_its_seats() {
+    let mut f = spooled(3);
+    copying(&mut f, false);
+    let fake = lose(&mut f, "store-1");
+    f.run(3_000);
+    f.add("store-4", "z1");
+    f.fakes.get_mut(&daemon("store-4")).unwrap().copies = false;
+    f.until(REPLACED_MS, |f| swaps(f) == 6);
+    return_with_disk(&mut f, fake);
+    f.until(1_500, |f| swaps(f) == 0);
+    copying(&mut f, true);
+    f.run(2_000);
+    assert_eq!((seats(&f, "store-1"), seats(&f, "store-4")), (6, 0));
+}
+
+#[test]
+fn a_store_that_comes_back_later_is_one_without_those_seats() {
+    let mut f = spooled(3);
+    let fake = lose(&mut f, "store-1");
+    f.run(3_000);
+    f.add("store-4", "z1");
+    f.until(REPLACED_MS, |f| seats(f, "store-1") == 0);
+    return_with_disk(&mut f, fake);
+    f.run(4_000);
+    assert_eq!((seats(&f, "store-1"), swaps(&f)), (0, 0));
+    // It is the spare that takes over from the next one lost.
+    lose(&mut f, "store-4");
+    f.until(9_000, |f| seats(f, "store-1") == 6);
+}
+
+#[test]
+fn a_copy_made_under_an_earlier_replacement_is_not_counted() {
+    let mut f = spooled(3);
+    copying(&mut f, false);
+    let fake = lose(&mut f, "store-1");
+    f.run(3_000);
+    f.add("store-4", "z1");
+    f.fakes.get_mut(&daemon("store-4")).unwrap().copies = false;
+    f.until(REPLACED_MS, |f| swaps(f) == 6);
+    let old: BTreeMap<Place, Version> = f.fakes.values().flat_map(|x| x.swaps.iter().map(|(p, s)| (p.clone(), s.2))).collect();
+    return_with_disk(&mut f, fake);
+    f.until(1_500, |f| swaps(f) == 0);
+    lose(&mut f, "store-1");
+    f.until(6_000, |f| swaps(f) == 6);
+    let primary = f.primary().unwrap();
+    let keepers: Vec<Daemon> = f.fakes.values().filter(|x| !x.swaps.is_empty()).map(|x| x.me.id.clone()).collect();
+    for keeper in keepers {
+        let fake = &f.fakes[&keeper];
+        let places: Vec<Place> = fake.swaps.keys().cloned().collect();
+        let whole = places.iter().map(|p| (p.clone(), daemon("store-4"), disk_of("store-4"))).collect();
+        let swaps = places.iter().map(|p| (p.clone(), old[p])).collect();
+        let report = Report { whole, swaps, ..Report::default() };
+        let heard = (f.cores[&primary].election.term(), f.now);
+        let msg = Msg::Need { asked: f.now, heard, have: Vector::default(), me: fake.me.clone(), report: Some(report) };
+        f.step(&primary, Event::Hear { from: keeper, msg });
+    }
+    assert_eq!((seats(&f, "store-1"), seats(&f, "store-4")), (6, 0));
+    copying(&mut f, true);
+    f.until(3_000, |f| seats(f, "store-4") == 6);
+}
+
+#[test]
+fn no_seat_moves_into_a_zone_that_has_one_already() {
+    let mut f = spooled(3);
+    lose(&mut f, "store-1");
+    f.add("store-4", "z2");
+    f.run(15_000);
+    assert_eq!((seats(&f, "store-1"), seats(&f, "store-4")), (6, 0));
+    f.add("store-5", "z1");
+    f.until(REPLACED_MS, |f| seats(f, "store-5") == 6);
+}
+
+#[test]
+fn a_primary_that_was_frozen_replaces_nobody() {
+    let mut f = spooled(6);
+    let before = hard(&f).layout.clone();
+    f.now += Span::secs(20);
+    f.until(8_000, |f| f.primary().is_some());
+    for _ in 0..30 {
+        f.run(50);
+        assert_eq!(swaps(&f), 0);
+    }
+    assert_eq!(hard(&f).layout, before);
+}
+
+#[test]
+fn the_replacement_goes_on_under_the_next_primary() {
+    let mut f = spooled(3);
+    lose(&mut f, "store-1");
+    f.run(3_000);
+    let primary = f.primary().unwrap();
+    f.kill(&primary);
+    f.add("store-4", "z1");
+    f.until(9_000, |f| f.primary().is_some() && seats(f, "store-1") == 0);
+    assert_eq!(seats(&f, "store-4"), 6);
+}
+
+#[test]
+fn who_is_gone_for_good_is_a_member_no_more_until_heard_again() {
+    let mut f = Fleet::whole();
+    let fake = lose(&mut f, "delivery-1");
+    f.run(25_000);
+    assert!(hard(&f).members.contains_key(&daemon("delivery-1")));
+    f.until(8_000, |f| !hard(f).members.contains_key(&daemon("delivery-1")));
+    return_with_disk(&mut f, fake);
+    f.until(1_500, |f| hard(f).members.contains_key(&daemon("delivery-1")));
+}
+
+#[test]
+fn a_store_with_seats_is_never_forgotten() {
+    let mut f = spooled(3);
+    lose(&mut f, "store-1");
+    f.run(40_000);
+    assert!(hard(&f).members.contains_key(&daemon("store-1")));
+}
+
+#[test]
+fn a_take_over_does_not_wait_for_one_that_is_gone_for_good() {
+    let mut f = Fleet::whole();
+    f.add("store-4", "z1");
+    f.run(2_000);
+    lose(&mut f, "store-4");
+    f.until(40_000, |f| !hard(f).members.contains_key(&daemon("store-4")));
+    let primary = f.primary().unwrap();
+    f.kill(&primary);
+    f.until(8_000, |f| f.primary().is_some());
+    // The window is a second; every daemon that is left pulls within 400 ms.
+    f.until(700, |f| f.primary().is_some_and(|d| f.cores[&d].office == Office::Serving));
+}
--- /dev/null
+++ b/crates/placement/tests/retirement.rs
@@ -0,0 +1,98 @@
+//! Whole storage machines that an operator takes away.
+mod fleet;
+use fleet::*;
+
+fn spooled(stores: usize) -> Fleet {
+    let mut f = Fleet::whole();
+    for n in 4..=stores {
+        f.add(&format!("store-{n}"), &format!("z{}", (n - 1) % 3 + 1));
+    }
+    f.run(2_000);
+    assert_eq!(f.put(0, &first()).code, 200);
+    f.run(6_000);
+    f
+}
+
+fn retire(f: &mut Fleet, machine: &str) -> u16 {
+    f.ask(Ask::RetireMachine { machine: machine.to_string() }).code
+}
+
+fn told(f: &mut Fleet, machine: &str) -> (u16, String) {
+    let v = f.ask(Ask::Retirement { machine: machine.to_string() });
+    (v.code, said(&v)["retirement"].as_str().unwrap_or("").to_string())
+}
+
+fn seats(f: &Fleet, store: &str) -> usize {
+    let hard = &f.cores[&f.primary().expect("a primary")].hard;
+    hard.layout.values().filter(|set| set.iter().any(|s| s.0 == daemon(store))).count()
+}
+
+#[test]
+fn a_machine_is_emptied_within_its_time_and_then_told_gone() {
+    let mut f = spooled(4);
+    f.run(5_000);
+    assert!(seats(&f, "store-1") > 0);
+    assert_eq!(told(&mut f, "machine-of-store-1").0, 404);
+    assert_eq!(retire(&mut f, "machine-of-store-1"), 200);
+    assert_eq!(retire(&mut f, "machine-of-store-1"), 200);
+    assert_eq!(told(&mut f, "machine-of-store-1"), (200, "leaving".to_string()));
+    let begun = f.now;
+    while told(&mut f, "machine-of-store-1").1 != "gone" {
+        assert!(f.now.since(begun) < Span::millis(4_000), "{} seats are left", seats(&f, "store-1"));
+    }
+    assert_eq!(seats(&f, "store-1"), 0);
+    let keeps = |d: &Duty| matches!(d, Duty::Keep(_));
+    assert!(!f.fakes[&daemon("store-1")].held.keys().any(keeps));
+    assert_eq!(retire(&mut f, "machine-of-store-1"), 200);
+}
+
+#[test]
+fn a_machine_that_is_unknown_or_needed_is_not_taken() {
+    let mut f = spooled(3);
+    for unknown in ["", "machine-of-delivery-1", "elsewhere"] {
+        assert_eq!(retire(&mut f, unknown), 404);
+        assert_eq!(told(&mut f, unknown).0, 404);
+    }
+    assert_eq!(retire(&mut f, "machine-of-store-1"), 409);
+    let mut f = spooled(4);
+    assert_eq!(retire(&mut f, "machine-of-store-2"), 200);
+    assert_eq!(retire(&mut f, "machine-of-store-1"), 409);
+}
+
+#[test]
+fn a_store_that_is_gone_does_not_count_as_one_that_remains() {
+    let mut f = spooled(4);
+    f.fakes.remove(&daemon("store-2"));
+    f.run(7_000);
+    assert_eq!(retire(&mut f, "machine-of-store-1"), 409);
+}
+
+#[test]
+fn a_machine_with_a_vote_stays() {
+    let mut f = spooled(4);
+    f.fakes.get_mut(&daemon("store-1")).unwrap().me.addr = "placement-1:9".to_string();
+    f.run(1_000);
+    assert_eq!(retire(&mut f, "machine-of-store-1"), 200);
+    f.run(8_000);
+    assert_eq!(seats(&f, "store-1"), 0);
+    assert_eq!(told(&mut f, "machine-of-store-1"), (200, "leaving".to_string()));
+    let primary = f.primary().unwrap();
+    let hosts: BTreeSet<String> = [String::from("placement-1")].into();
+    assert_eq!(f.cores[&primary].retiring_hosts(), hosts);
+}
+
+#[test]
+fn a_new_machine_at_the_address_of_one_that_retired_is_used() {
+    let mut f = spooled(4);
+    assert_eq!(retire(&mut f, "machine-of-store-1"), 200);
+    f.run(6_000);
+    assert_eq!(told(&mut f, "machine-of-store-1").1, "gone");
+    f.fakes.remove(&daemon("store-1"));
+    f.run(2_000);
+    f.add("store-1", "z1");
+    let fresh = &mut f.fakes.get_mut(&daemon("store-1")).unwrap().me;
+    (fresh.machine, fresh.disk, fresh.life) = ("another".to_string(), Mark(77), Mark(9));
+    f.run(2_000);
+    assert_eq!(told(&mut f, "another").0, 404);
+    assert!(!f.cores[&f.primary().unwrap()].hard.retiring.contains_key(&daemon("store-1")));
+}
--- a/crates/scale/src/axes/reports.rs
+++ b/crates/scale/src/axes/reports.rs
@@ -27,7 +27,15 @@
         let assigned = (0..n).map(|i| (place(i), keeper.clone())).collect();
         let set: Vec<(Daemon, Mark)> =
             (1..=3).map(|i| Daemon(format!("store-{i:05}"))).map(|d| (d.clone(), mark_of(&d))).collect();
-        let grant = |duty: Duty, set: Vec<(Daemon, Mark)>| Grant { duty, epoch, set, swap: None, shed: false, slice: None };
+        let grant = |duty: Duty, set: Vec<(Daemon, Mark)>| Grant {
+            duty,
+            epoch,
+            set,
+            swap: None,
+            swap_number: Version::ZERO,
+            shed: false,
+            slice: None,
+        };
         let news = |items: Vec<(Version, Item)>, grants: Vec<Grant>| Msg::News {
             asked: Time(1 << 40),
             term: Term(7),
--- a/crates/scale/src/shape.rs
+++ b/crates/scale/src/shape.rs
@@ -80,6 +80,7 @@
             http: format!("{ip}:8000"),
             life: LIFE,
             disk: if d.kind() == Kind::Store { mark_of(d) } else { Mark(0) },
+            machine: String::new(),
         }
     }
     /// Who pulls from the primary itself: its own replicas and the proxies,
--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -333,6 +333,7 @@
             http: self.fronts.first().unwrap_or(&self.http).clone(),
             life,
             disk: Mark(0),
+            machine: self.machine.clone(),
         }
     }
 }
