--- a/crates/placement/tests/replacement.rs
+++ b/crates/placement/tests/replacement.rs
@@ -173,6 +173,24 @@
     assert_eq!(hard(&f).layout, before);
 }
 
+#[test]
+fn a_pause_of_the_primary_is_no_silence_of_others() {
+    let mut f = spooled(6);
+    let before = hard(&f).layout.clone();
+    let primary = f.primary().unwrap();
+    lose(&mut f, "store-1");
+    f.run(4_600);
+    assert_eq!(swaps(&f), 0);
+    // Too short for an election: the same primary goes on.
+    f.now += Span::millis(700);
+    for _ in 0..60 {
+        f.run(50);
+        assert_eq!((f.primary(), swaps(&f)), (Some(primary.clone()), 0));
+    }
+    assert_eq!(hard(&f).layout, before);
+    f.until(6_000, |f| seats(f, "store-1") == 0);
+}
+
 #[test]
 fn the_replacement_goes_on_under_the_next_primary() {
     let mut f = spooled(3);
--- /dev/null
+++ b/crates/waitlist/tests/replacement.rs
@@ -0,0 +1,255 @@
+//! A partition's keeper while one of its stores is replaced: what a copy must
+//! hold before it may take the seat. Three store cores and a joiner, driven by
+//! steps alone; the test stands for placement and hands out the grants.
+use dw_waitlist::prelude::*;
+use std::collections::VecDeque as Queue;
+
+const STEP: Span = Span::millis(50);
+const KEEPER: &str = "store-1";
+const LEAVER: &str = "store-2";
+const THIRD: &str = "store-3";
+const JOINER: &str = "store-4";
+
+fn daemon(name: &str) -> Daemon {
+    Daemon(name.to_string())
+}
+
+fn place() -> Place {
+    Place { tenant: "curators".into(), waitlist: "sheets".into(), part: 0 }
+}
+
+fn member(name: &str) -> Member {
+    Member {
+        id: daemon(name),
+        zone: Zone(name.replace("store", "zone")),
+        addr: format!("{name}:1"),
+        http: String::new(),
+        life: Mark(1),
+        disk: Mark(0),
+        machine: String::new(),
+    }
+}
+
+struct Stores {
+    now: Time,
+    cores: BTreeMap<Daemon, Store>,
+    /// Stores that hear nothing and are heard by nobody.
+    cut: BTreeSet<Daemon>,
+    queue: Queue<(Daemon, Event)>,
+    set: Vec<(Daemon, Mark)>,
+    swap: Option<(Daemon, Daemon, u64)>,
+    /// What the keeper last reported.
+    report: Report,
+    accepted: BTreeSet<u64>,
+    asked: u64,
+}
+
+impl Stores {
+    fn new() -> Stores {
+        let mut s = Stores {
+            now: Time::millis(1_000),
+            cores: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            queue: Queue::new(),
+            set: Vec::new(),
+            swap: None,
+            report: Report::default(),
+            accepted: BTreeSet::new(),
+            asked: 0,
+        };
+        for name in [KEEPER, LEAVER, THIRD, JOINER] {
+            let startup = Startup {
+                me: member(name),
+                seeds: vec![daemon("placement-1")],
+                pull: Span::millis(300),
+                terms: Terms::default(),
+                bytes_max: 1 << 20,
+                disk_max: 1 << 20,
+                cache_max: 1 << 20,
+                count_max: 1000,
+                backoff: Span::millis(200),
+                backoff_max: Span::secs(5),
+                word: Span::millis(500),
+                wall: 0,
+                seed: hash_of(name.as_bytes()),
+            };
+            let none: Vec<(String, Bytes)> = Vec::new();
+            let (core, out) = Store::new(startup, &none, Mark(hash_of(name.as_bytes())), s.now);
+            s.cores.insert(daemon(name), core);
+            s.obey(&daemon(name), out);
+        }
+        s.set = [KEEPER, LEAVER, THIRD].iter().map(|n| (daemon(n), s.mark(n))).collect();
+        s.run(3_000);
+        assert_eq!(s.keeper().phase, Phase::Serving);
+        s
+    }
+    fn mark(&self, name: &str) -> Mark {
+        self.cores[&daemon(name)].mark
+    }
+    fn keeper(&self) -> &Keep {
+        self.cores[&daemon(KEEPER)].parts[&place()].own.as_ref().expect("a keeper")
+    }
+    fn obey(&mut self, id: &Daemon, out: Vec<Effect>) {
+        for effect in out {
+            match effect {
+                Effect::Say(to, _) if self.cut.contains(id) || self.cut.contains(&to) => {}
+                Effect::Say(_, Msg::Need { asked, report, .. }) => self.answer(id, asked, report),
+                Effect::Say(_, Msg::Carried { ask, word: Carried::Accepted { .. }, .. }) => {
+                    self.accepted.insert(ask);
+                }
+                Effect::Say(to, msg) if self.cores.contains_key(&to) => {
+                    self.queue.push_back((to, Event::Hear { from: id.clone(), msg }));
+                }
+                Effect::Save { n, .. } => self.queue.push_back((id.clone(), Event::Saved(n))),
+                _ => {}
+            }
+        }
+    }
+    /// Answers a pull as placement does: members, and the keeper's grant.
+    fn answer(&mut self, to: &Daemon, asked: Time, report: Option<Report>) {
+        let members = self.cores.iter().map(|(d, core)| Member { disk: core.mark, ..member(d.as_str()) }).collect();
+        let version = Version { term: Term(1), count: 1 };
+        let rules = json_of_rules();
+        let items = vec![(version, Item::Members(members)), (version, Item::Charter(rules))];
+        let mut grants = Vec::new();
+        if *to == daemon(KEEPER) && !self.set.is_empty() {
+            self.report = report.unwrap_or_default();
+            let (swap, swap_number) = match self.swap.clone() {
+                Some((out, joiner, n)) => (Some((out, joiner)), Version { term: Term(1), count: n }),
+                None => (None, Version::ZERO),
+            };
+            let duty = Duty::Keep(place());
+            let epoch = Epoch { term: Term(1), count: 1 };
+            grants.push(Grant { duty, epoch, set: self.set.clone(), swap, swap_number, shed: false, slice: None });
+        }
+        let fresh = Some(Span::millis(2_500));
+        let msg = Msg::News { asked, term: Term(1), fresh, items, grants, late: Vec::new() };
+        self.queue.push_back((to.clone(), Event::Hear { from: daemon("placement-1"), msg }));
+    }
+    fn drain(&mut self) {
+        while let Some((id, event)) = self.queue.pop_front() {
+            let Some(core) = self.cores.get_mut(&id) else { continue };
+            let out = core.step(event, self.now);
+            self.obey(&id, out);
+        }
+    }
+    fn run(&mut self, ms: u64) {
+        let end = self.now + Span::millis(ms);
+        while self.now < end {
+            self.now += STEP;
+            for id in self.cores.keys().cloned().collect::<Vec<_>>() {
+                self.queue.push_back((id, Event::Clock));
+                self.drain();
+            }
+        }
+    }
+    fn carry(&mut self, ask: u64, body: Bytes) {
+        let id = MessageId(format!("m{ask}"));
+        let head = Head { id, crc: crc32(&body), len: body.len() as u32, ..Head::default() };
+        let msg = Msg::Carry {
+            ask,
+            proxy: daemon("proxy-1"),
+            via: None,
+            again: false,
+            place: place(),
+            version: Version::ZERO,
+            head,
+            body,
+            stamp: None,
+            refuse: None,
+        };
+        self.queue.push_back((daemon(KEEPER), Event::Hear { from: daemon("proxy-1"), msg }));
+    }
+    /// Hands messages to the keeper; all are accepted.
+    fn hand_in(&mut self, count: u64) {
+        let first = self.asked + 1;
+        for _ in 0..count {
+            self.asked += 1;
+            let body = Bytes::from(format!("body {}", self.asked));
+            self.carry(self.asked, body);
+        }
+        self.run(1_500);
+        let missing: Vec<u64> = (first..=self.asked).filter(|n| !self.accepted.contains(n)).collect();
+        assert!(missing.is_empty(), "not accepted: {missing:?}");
+    }
+    /// Whether the keeper's last report lets placement move the seat.
+    fn seat_may_move(&self) -> bool {
+        let Some((_, joiner, n)) = &self.swap else { return false };
+        let number = Version { term: Term(1), count: *n };
+        let whole = (place(), joiner.clone(), self.mark(joiner.as_str()));
+        self.report.swaps.contains(&(place(), number)) && self.report.whole.contains(&whole)
+    }
+    fn has(&self, name: &str) -> usize {
+        self.cores[&daemon(name)].parts.get(&place()).map_or(0, |p| p.recs.len())
+    }
+    fn replace(&mut self, number: u64) {
+        self.swap = Some((daemon(LEAVER), daemon(JOINER), number));
+    }
+}
+
+fn json_of_rules() -> String {
+    let text = r#"{
+        "templates": [{"name": "house", "waitlists": [
+            {"name": "sheets", "partitions": 1, "service": "sheets", "attempts": 8, "attempt_ms": 1500}
+        ]}],
+        "tenants": [{"name": "curators", "template": "house", "share": 1}],
+        "services": [{"name": "sheets", "slots": 4}]
+    }"#;
+    text.to_string()
+}
+
+#[test]
+fn a_joiner_is_whole_once_it_holds_all_that_was_accepted() {
+    let mut s = Stores::new();
+    s.hand_in(20);
+    assert!(!s.seat_may_move());
+    s.replace(1);
+    s.run(1_500);
+    assert!(s.seat_may_move());
+    assert_eq!(s.has(JOINER), 20);
+}
+
+#[test]
+fn a_joiner_copied_for_an_earlier_replacement_is_copied_again() {
+    let mut s = Stores::new();
+    s.hand_in(5);
+    s.replace(1);
+    s.run(1_500);
+    assert!(s.seat_may_move());
+    // The one that was to leave is back, and what follows stands on it alone.
+    s.swap = None;
+    s.run(600);
+    assert_eq!((s.report.whole.len(), s.report.swaps.len()), (0, 0));
+    s.cut.insert(daemon(THIRD));
+    s.hand_in(10);
+    assert_eq!((s.has(LEAVER), s.has(JOINER)), (15, 5));
+    s.replace(2);
+    let begun = s.now;
+    while !s.seat_may_move() {
+        assert!(s.now.since(begun) < Span::secs(4), "never whole");
+        s.run(50);
+    }
+    assert_eq!(s.has(JOINER), 15);
+}
+
+#[test]
+fn a_store_that_leaves_counts_for_nothing_new() {
+    let mut s = Stores::new();
+    s.replace(1);
+    s.run(1_000);
+    s.cut.insert(daemon(THIRD));
+    let before = s.keeper().committed;
+    let op = s.keeper().durable;
+    s.asked += 1;
+    let body = Bytes::from_static(b"late");
+    s.carry(s.asked, body);
+    s.run(2_000);
+    assert!(s.keeper().durable > op, "written here");
+    assert_eq!(s.keeper().committed, before);
+    assert!(s.accepted.is_empty());
+    // The joiner has the seat: it counts, once it has the op.
+    s.set[1] = (daemon(JOINER), s.mark(JOINER));
+    s.swap = None;
+    s.run(3_000);
+    assert_eq!((s.accepted.len(), s.has(JOINER)), (1, 1));
+}
