--- a/crates/placement/src/primary/revise.rs
+++ b/crates/placement/src/primary/revise.rs
@@ -5,22 +5,25 @@
 use serde_json::json;
 
 /// Those who wait for one and the same order, at most.
-const WAITING_MAX: usize = 64;
+pub(super) const WAITING_MAX: usize = 64;
 /// Stores are still coming in when the newest one joined within this.
 const GROWING: Span = Span::millis(500);
 const AGAIN: Span = Span::millis(300);
 
-/// The id of an order, the same for the same words on the same base.
-fn op_of(base: u64, json: &str, patch: bool) -> String {
-    let kind = if patch { "p" } else { "w" };
-    format!("r{base}>{kind}{:016x}", hash_of(json.as_bytes()))
+/// Whether an order is a patch of a configuration or a whole one.
+pub(super) fn kind_of(patch: bool) -> OrderKind {
+    match patch {
+        true => OrderKind::Patch,
+        false => OrderKind::Whole,
+    }
 }
 
 impl Placement {
     pub(super) fn revise(&mut self, id: AskId, base: u64, json: &str, part: bool, now: Time) -> Option<Verdict> {
-        let op = op_of(base, json, part);
-        if let Some(v) = self.hard.ops.iter().find(|o| o.0 == op).map(|o| o.2) {
-            return Some(done(v, &op));
+        let op = OperationId::numbered(kind_of(part), base, json);
+        let known = self.hard.operations.known(&op, None);
+        if let Known::Done(version) = known {
+            return Some(done(version, &op));
         }
         if let Some(all) = self.waiting(&op) {
             if all.len() >= WAITING_MAX {
@@ -29,6 +32,9 @@
             all.push(id);
             return None;
         }
+        if base != self.rules.revision && known == Known::Unknown {
+            return Some(self.unrecorded(&op, json, part, now));
+        }
         if base != self.rules.revision {
             return Some(self.outrun(self.hard.charter_version));
         }
@@ -40,13 +46,32 @@
                 return Some(faulty(&e));
             }
         };
-        let order = Order::Charter { op: op.clone(), base: self.hard.charter_version, json: canon };
+        let order = Order::Charter { op: op.clone(), request: None, base: self.hard.charter_version, json: canon };
         self.propose(order, Pending::Revision(vec![id], op), now);
         None
     }
 
+    /// The answer to an order on a base so old that its record may be gone:
+    /// a whole configuration that is in force was taken, of any other it can't
+    /// be known.
+    fn unrecorded(&self, op: &OperationId, json: &str, part: bool, now: Time) -> Verdict {
+        if !part && self.in_force(json, now) {
+            return done(self.hard.charter_version, op);
+        }
+        later("this order is older than the records; whether it was taken is unknown; read the configuration")
+    }
+
+    /// Whether a whole configuration is the very one in force.
+    fn in_force(&self, json: &str, now: Time) -> bool {
+        let Ok(mut whole) = dw_charter::check::read(json) else { return false };
+        if self.settle(&mut whole, now).is_err() {
+            return false;
+        }
+        canonical(&whole).is_ok_and(|text| text == self.hard.charter)
+    }
+
     /// Those who wait for an order that is under way.
-    fn waiting(&mut self, op: &str) -> Option<&mut Vec<AskId>> {
+    fn waiting(&mut self, op: &OperationId) -> Option<&mut Vec<AskId>> {
         self.pending.values_mut().find_map(|(_, p)| match p {
             Pending::Revision(all, o) if o == op => Some(all),
             _ => None,
--- /dev/null
+++ b/crates/placement/tests/operations.rs
@@ -0,0 +1,130 @@
+//! The records of operators' orders, as they are kept and read back.
+use dw_placement::operations::OPERATIONS_BYTES;
+use dw_placement::prelude::*;
+
+/// The hard state of the earlier form: configuration 9, made by an order that
+/// was numbered and one that was named, and an evacuated zone.
+const EARLIER_STATE: &str = "aa676368617274657278187b227265766973696f6e223a392c22646f63223a2278227d6f\
+    636861727465725f76657273696f6ea2647465726d0265636f756e7405636f707382837472303e7730313233343536373839\
+    6162636465661ae14ac909a2647465726d0165636f756e7403836762792d68616e641a087b1a17a2647465726d0265636f75\
+    6e7405676d656d62657273a06f6d656d626572735f76657273696f6ea2647465726d0065636f756e7400666c61796f7574a0\
+    65656d70747981627a3167647261696e6564806e6f72646572735f76657273696f6ea2647465726d0265636f756e74066872\
+    65746972696e67a0";
+
+/// A log entry of the earlier form: a numbered configuration on base 0.
+const EARLIER_ORDER: &str = "a16743686172746572a3626f707472303e77303132333435363738396162636465666462617365\
+    a2647465726d0065636f756e7400646a736f6e78187b227265766973696f6e223a372c22646f63223a2278227d";
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<u8> = hex.chars().filter_map(|c| c.to_digit(16)).map(|d| d as u8).collect();
+    digits.chunks(2).map(|pair| pair[0] << 4 | pair[1]).collect()
+}
+
+fn version(term: u64, count: u64) -> Version {
+    Version { term: Term(term), count }
+}
+
+fn numbered(base: u64) -> OperationId {
+    OperationId::numbered(OrderKind::Whole, base, &format!("words on {base}"))
+}
+
+fn recorded(count: u64) -> Operations {
+    let mut operations = Operations::default();
+    for base in 0..count {
+        operations.record(Operation { id: numbered(base), request: None, version: version(1, base + 1) });
+    }
+    operations
+}
+
+#[test]
+fn kind_base_and_words_each_make_another_order() {
+    let one = OperationId::numbered(OrderKind::Whole, 7, "words");
+    assert_eq!(one, OperationId::numbered(OrderKind::Whole, 7, "words"));
+    assert_ne!(one, OperationId::numbered(OrderKind::Patch, 7, "words"));
+    assert_ne!(one, OperationId::numbered(OrderKind::Whole, 8, "words"));
+    assert_ne!(one, OperationId::numbered(OrderKind::Whole, 7, "words "));
+}
+
+#[test]
+fn the_digest_is_sha_256() {
+    // Of a 'w', eight bytes of a 7, and "abc".
+    let digest = OrderDigest::of(OrderKind::Whole, 7, "abc").to_string();
+    assert_eq!(digest, "6d31ace3b0b05e9b9d0e60ad6b85b8cafbf140641ff997d46b979c462462b5fb");
+}
+
+#[test]
+fn ids_are_read_back_as_written() {
+    for id in [numbered(u64::MAX), OperationId::Named("by-hand".into())] {
+        assert_eq!(decode::<OperationId>(&encode(&id)).unwrap(), id);
+    }
+    let operations = recorded(3);
+    assert_eq!(decode::<Operations>(&encode(&operations)).unwrap(), operations);
+}
+
+#[test]
+fn what_was_dropped_is_unknown_and_all_else_is_certain() {
+    let count = 10_000;
+    let operations = recorded(count);
+    let kept = operations.len() as u64;
+    assert!(kept >= 3_000 && kept < count, "{kept} are kept");
+    let oldest = count - kept;
+    for base in [0, oldest - 1] {
+        assert_eq!(operations.known(&numbered(base), None), Known::Unknown, "base {base}");
+    }
+    for base in [oldest, count - 1] {
+        assert_eq!(operations.known(&numbered(base), None), Known::Done(version(1, base + 1)), "base {base}");
+        let other = OperationId::numbered(OrderKind::Whole, base, "other words");
+        assert_eq!(operations.known(&other, None), Known::NotDone, "base {base}");
+    }
+}
+
+#[test]
+fn the_records_stay_within_their_bytes() {
+    for count in [256, 1_000, 10_000] {
+        let size = encode(&recorded(count)).len();
+        println!("{count} orders: {size} bytes");
+        assert!(size <= OPERATIONS_BYTES + 1_024, "{size} bytes of {count} orders");
+    }
+    let mut operations = Operations::default();
+    for n in 0..10_000u64 {
+        let id = OperationId::Named(format!("{n:0>128}"));
+        let request = Some(OrderDigest::of(OrderKind::Patch, 0, "words"));
+        operations.record(Operation { id, request, version: version(u64::MAX, u64::MAX) });
+    }
+    let size = encode(&operations).len();
+    assert!(size <= OPERATIONS_BYTES + 1_024, "{size} bytes of named orders");
+}
+
+#[test]
+fn a_named_order_is_told_from_another_of_the_same_name() {
+    let mut operations = Operations::default();
+    let id = OperationId::Named("op-1".into());
+    let [one, two] = ["one", "two"].map(|words| Some(OrderDigest::of(OrderKind::Patch, 0, words)));
+    operations.record(Operation { id: id.clone(), request: one, version: version(1, 1) });
+    assert_eq!(operations.known(&id, one), Known::Done(version(1, 1)));
+    assert_eq!(operations.known(&id, two), Known::Reused);
+}
+
+#[test]
+fn a_state_of_the_earlier_form_is_read_and_proves_nothing_of_its_orders() {
+    let hard = Hard::read(&bytes(EARLIER_STATE)).expect("readable");
+    assert_eq!((hard.charter.as_str(), hard.charter_version), ("{\"revision\":9,\"doc\":\"x\"}", version(2, 5)));
+    assert!(hard.empty.contains(&Zone("z1".into())));
+    for base in [0, 7, 8] {
+        assert_eq!(hard.operations.known(&numbered(base), None), Known::Unknown, "base {base}");
+    }
+    assert_eq!(hard.operations.known(&numbered(9), None), Known::NotDone);
+    let named = OperationId::Named("by-hand".into());
+    let request = Some(OrderDigest::of(OrderKind::Whole, 0, "words"));
+    assert_eq!(hard.operations.known(&named, request), Known::Unknown);
+    assert_eq!(Hard::read(&encode(&hard)), Some(hard));
+}
+
+#[test]
+fn a_log_entry_of_the_earlier_form_is_read_and_proves_nothing() {
+    let order: Order = decode(&bytes(EARLIER_ORDER)).expect("readable");
+    let mut hard = Hard::default();
+    assert_eq!(hard.apply(3, Term(1), &order), Applied::Done(version(1, 3)));
+    assert_eq!(hard.operations.known(&numbered(0), None), Known::Unknown);
+    assert_eq!(hard.operations.known(&numbered(7), None), Known::NotDone);
+}
--- /dev/null
+++ b/crates/placement/tests/orders.rs
@@ -0,0 +1,161 @@
+//! Operators' orders sent more than once, by more than one operator.
+mod fleet;
+use fleet::*;
+
+/// More changes than the earlier form remembered.
+const MANY: u64 = 300;
+
+fn revise(base: u64, words: &str) -> Ask {
+    Ask::Revise { base, json: words.to_string(), patch: false }
+}
+
+fn routed(revision: u64, prefix: &str) -> Value {
+    charter(revision, &[route("r-a", prefix)])
+}
+
+fn zone(empty: bool) -> Ask {
+    Ask::Zone { zone: "z1".into(), empty, sure: true }
+}
+
+/// A configuration that starts with `token`, so that its hash may be chosen.
+fn with_doc(token: &str) -> String {
+    let mut whole = routed(9, "/a/");
+    whole["doc"] = json!(token);
+    whole.to_string()
+}
+
+#[test]
+fn two_configurations_of_one_base_and_one_weak_hash_are_not_both_confirmed() {
+    let (one, two) = (with_doc("978vOSp_83C"), with_doc("PZQq2hwoeGK"));
+    assert_ne!(one, two);
+    assert_eq!(hash_of(one.as_bytes()), hash_of(two.as_bytes()), "the pair was made to collide");
+    let mut f = Fleet::whole();
+    assert_eq!(f.put(0, &first()).code, 200);
+    assert_eq!(f.ask(revise(7, &one)).code, 200);
+    assert_eq!(f.ask(revise(7, &two)).code, 409);
+}
+
+#[test]
+fn an_acknowledged_order_is_acknowledged_again_after_hundreds_of_others() {
+    let mut f = Fleet::whole();
+    assert_eq!(f.put(0, &first()).code, 200);
+    for n in 0..MANY {
+        let at = f.primary().unwrap();
+        f.send(&at, revise(7 + n, &routed(8 + n, &format!("/x{n}/")).to_string()));
+        f.run(50);
+    }
+    assert_eq!(f.put(0, &first()).code, 200);
+    assert_eq!(f.put(7, &routed(8, "/x0/")).code, 200);
+    assert_eq!(f.put(7, &routed(8, "/other/")).code, 409);
+}
+
+#[test]
+fn a_repeated_evacuation_joins_the_one_under_way() {
+    let mut f = Fleet::whole();
+    let (at, before) = (f.primary().unwrap(), f.committed());
+    f.step_alone(&at, Event::Ask(AskId(901), zone(true)));
+    f.step_alone(&at, Event::Ask(AskId(902), zone(true)));
+    f.drain();
+    f.run(300);
+    assert_eq!((f.told[&901].code, f.told[&902].code), (200, 200));
+    assert_eq!(f.committed(), before + 1);
+}
+
+#[test]
+fn of_evacuations_under_way_the_last_one_wins_on_every_replica() {
+    for orders in [vec![true, false], vec![true, false, true], vec![true, true, false, false], vec![false, true, false, true]] {
+        let mut f = Fleet::whole();
+        let at = f.primary().unwrap();
+        for (n, empty) in orders.iter().enumerate() {
+            f.step_alone(&at, Event::Ask(AskId(901 + n as u64), zone(*empty)));
+        }
+        f.drain();
+        f.run(1_000);
+        for n in 0..orders.len() as u64 {
+            assert_eq!(f.told[&(901 + n)].code, 200, "{orders:?}");
+        }
+        for (id, core) in &f.cores {
+            assert_eq!(Some(&!core.hard.empty.is_empty()), orders.last(), "{id} after {orders:?}");
+        }
+    }
+}
+
+#[test]
+fn eight_orders_at_once_to_every_replica_confirm_one_order_only() {
+    let mut f = Fleet::whole();
+    assert_eq!(f.put(0, &first()).code, 200);
+    let all: Vec<Daemon> = f.cores.keys().cloned().collect();
+    let words: Vec<String> = (0..8).map(|n| routed(9, &format!("/x{}/", n % 4)).to_string()).collect();
+    for (n, text) in words.iter().enumerate() {
+        for (k, daemon) in all.iter().enumerate() {
+            f.step_alone(daemon, Event::Ask(AskId(900 + 10 * n as u64 + k as u64), revise(7, text)));
+        }
+    }
+    f.drain();
+    f.run(1_000);
+    let leader = all.iter().position(|d| Some(d) == f.primary().as_ref()).unwrap();
+    for n in 0..words.len() as u64 {
+        for k in 0..all.len() as u64 {
+            let wanted = match (k as usize == leader, n % 4) {
+                (false, _) => 503,
+                (true, 0) => 200,
+                (true, _) => 409,
+            };
+            assert_eq!(f.told[&(900 + 10 * n + k)].code, wanted, "order {n} at {k}");
+        }
+    }
+    // The first configuration and the four that differ; each repeat joined its own.
+    assert_eq!(f.charters_logged(), 5);
+}
+
+#[test]
+fn a_patch_sent_twice_at_once_is_done_once() {
+    let mut f = Fleet::whole();
+    assert_eq!(f.put(0, &first()).code, 200);
+    let at = f.primary().unwrap();
+    let words = json!({"revision": 9, "routes": [route("r-b", "/b/")]}).to_string();
+    for n in [901, 902] {
+        f.step_alone(&at, Event::Ask(AskId(n), Ask::Revise { base: 7, json: words.clone(), patch: true }));
+    }
+    f.drain();
+    f.run(300);
+    assert_eq!((f.told[&901].code, f.told[&902].code), (200, 200));
+    assert_eq!(f.charters_logged(), 2);
+    // The same words as a whole configuration are another order.
+    assert_eq!(f.ask(revise(7, &words)).code, 409);
+}
+
+#[test]
+fn one_operation_id_for_two_patches_confirms_only_the_first() {
+    let mut f = Fleet::whole();
+    assert_eq!(f.put(0, &first()).code, 200);
+    let apply = |f: &Fleet, doc: &str| {
+        let base = f.cores[&f.primary().unwrap()].hard.charter_version.to_string();
+        let json = json!({"revision": 9, "doc": doc}).to_string();
+        Ask::Apply(Charge { op: "op-1".into(), base, json, patch: true })
+    };
+    let one = apply(&f, "one");
+    assert_eq!(f.ask(one.clone()).code, 200);
+    assert_eq!(f.ask(one).code, 200);
+    let two = apply(&f, "two");
+    assert_eq!(f.ask(two).code, 409);
+}
+
+#[test]
+fn an_order_older_than_the_records_is_neither_refused_nor_confirmed_unless_it_is_in_force() {
+    let mut f = Fleet::whole();
+    let second = routed(9, "/a/");
+    assert_eq!((f.put(0, &first()).code, f.put(7, &second).code), (200, 200));
+    for core in f.cores.values_mut() {
+        core.hard.operations = Operations::default();
+        core.hard.operations.incomplete_below(9);
+    }
+    let v = f.put(0, &first());
+    assert_eq!((v.code, v.after), (503, Some(Span::millis(300))), "{}", v.json);
+    assert_eq!(f.put(7, &routed(9, "/b/")).code, 503);
+    assert_eq!(f.patch(7, &json!({"revision": 9, "doc": "part"})).code, 503);
+    assert_eq!(f.put(7, &second).code, 200);
+    // From the newest revision on all is certain again.
+    assert_eq!(f.put(9, &routed(11, "/c/")).code, 200);
+    assert_eq!(f.put(9, &routed(12, "/d/")).code, 409);
+}
