The placement crate's new lines keep to the product's own word for emptying a zone

Cause: the commit before said the platform's word in crates/placement, which platform/tests/rooms.rs rightly refuses. Comment and test names are reworded.

--- a/crates/placement/tests/operations.rs
+++ b/crates/placement/tests/operations.rs
@@ -3,7 +3,7 @@
 use dw_placement::prelude::*;
 
 /// The hard state of the earlier form: configuration 9, made by an order that
-/// was numbered and one that was named, and an evacuated zone.
+/// was numbered and one that was named, and an emptied zone.
 const EARLIER_STATE: &str = "aa676368617274657278187b227265766973696f6e223a392c22646f63223a2278227d6f\
     636861727465725f76657273696f6ea2647465726d0265636f756e7405636f707382837472303e7730313233343536373839\
     6162636465661ae14ac909a2647465726d0165636f756e7403836762792d68616e641a087b1a17a2647465726d0265636f75\
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn a_repeated_evacuation_joins_the_one_under_way() {
+fn a_repeated_emptying_of_a_zone_joins_the_one_under_way() {
     let mut f = Fleet::whole();
     let (at, before) = (f.primary().unwrap(), f.committed());
     f.step_alone(&at, Event::Ask(AskId(901), zone(true)));
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn of_evacuations_under_way_the_last_one_wins_on_every_replica() {
+fn of_the_orders_for_a_zone_under_way_the_last_one_wins_on_every_replica() {
     for orders in [vec![true, false], vec![true, false, true], vec![true, true, false, false], vec![false, true, false, true]] {
         let mut f = Fleet::whole();
         let at = f.primary().unwrap();
