--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -159,3 +159,81 @@
     assert_eq!(f.put(9, &routed(11, "/c/")).code, 200);
     assert_eq!(f.put(9, &routed(12, "/d/")).code, 409);
 }
+
+/// Every verdict among effects.
+fn verdicts(effects: Vec<Effect>) -> Vec<Verdict> {
+    effects.into_iter().filter_map(|e| if let Effect::Tell(_, v) = e { Some(v) } else { None }).collect()
+}
+
+#[test]
+fn a_leader_that_was_frozen_shows_confirms_and_refuses_nothing_of_its_old_state() {
+    let mut f = Fleet::whole();
+    assert_eq!(f.put(0, &first()).code, 200);
+    let at = f.primary().unwrap();
+    let mut frozen = f.cores.remove(&at).unwrap();
+    f.until(8_000, |f| f.primary().is_some());
+    f.run(2_000);
+    assert_eq!(f.put(7, &routed(9, "/a/")).code, 200);
+    // What waited at its sockets comes before its own clock event.
+    let store = f.fakes.values().next().unwrap().me.clone();
+    let need = Msg::Need {
+        asked: f.now,
+        heard: (Term(1), f.now),
+        have: Vector::default(),
+        me: store.clone(),
+        report: Some(Report::default()),
+    };
+    let out = frozen.step(Event::Hear { from: store.id.clone(), msg: need }, f.now);
+    assert!(!out.iter().any(|e| matches!(e, Effect::Say(_, Msg::News { .. }))), "{out:?}");
+    let asks = [Ask::CharterShow, revise(0, &first().to_string()), revise(7, &routed(12, "/b/").to_string()), zone(false)];
+    for ask in asks {
+        let told = verdicts(frozen.step(Event::Ask(AskId(1), ask.clone()), f.now));
+        assert_eq!(told.iter().map(|v| v.code).collect::<Vec<_>>(), [503], "{ask:?}");
+    }
+    let told = verdicts(frozen.step(Event::Ask(AskId(2), Ask::Status), f.now));
+    assert_eq!(said(&told[0])["may_act"], false);
+}
+
+#[test]
+fn of_two_orders_on_both_sides_of_a_cut_the_majority_s_wins_and_the_other_is_refused_for_sure() {
+    let mut f = Fleet::whole();
+    assert_eq!(f.put(0, &first()).code, 200);
+    let at = f.primary().unwrap();
+    f.cut.insert(at.clone());
+    let lost = routed(9, "/minority/");
+    let n = f.send(&at, revise(7, &lost.to_string()));
+    f.until(8_000, |f| f.primary().is_some());
+    f.run(2_000);
+    assert_eq!(f.put(7, &routed(9, "/majority/")).code, 200);
+    f.cut.clear();
+    f.run(4_000);
+    assert_eq!(f.told[&n].code, 504);
+    assert_eq!(f.put(7, &lost).code, 409);
+    assert_eq!(f.put(7, &routed(9, "/majority/")).code, 200);
+    let charters: BTreeSet<&str> = f.cores.values().map(|c| c.hard.charter.as_str()).collect();
+    assert!(charters.len() == 1 && charters.iter().all(|c| c.contains("/majority/")), "{charters:?}");
+}
+
+#[test]
+fn the_records_of_orders_are_the_same_on_every_replica_and_after_a_restart() {
+    let mut f = Fleet::whole();
+    assert_eq!(f.put(0, &first()).code, 200);
+    for n in 0..40 {
+        assert_eq!(f.put(7 + n, &routed(8 + n, &format!("/x{n}/"))).code, 200);
+    }
+    let all: Vec<Daemon> = f.cores.keys().cloned().collect();
+    for id in &all {
+        f.kill(id);
+    }
+    for id in &all {
+        f.start(id, false);
+    }
+    f.until(8_000, |f| f.primary().is_some());
+    f.run(2_000);
+    let lead = f.cores[&f.primary().unwrap()].hard.operations.clone();
+    assert_eq!(lead.len(), 41);
+    assert!(f.cores.values().all(|c| c.hard.operations == lead));
+    assert_eq!(f.put(0, &first()).code, 200);
+    assert_eq!(f.put(20, &routed(21, "/x13/")).code, 200);
+    assert_eq!(f.put(20, &routed(21, "/other/")).code, 409);
+}
