--- a/crates/election/src/configuration.rs
+++ b/crates/election/src/configuration.rs
@@ -13,6 +13,13 @@
     pub zone: Zone,
 }
 
+impl Voter {
+    /// The host part of the address; all daemons of a machine share it.
+    pub fn host(&self) -> &str {
+        self.address.rsplit_once(':').map_or(&self.address, |parts| parts.0)
+    }
+}
+
 /// The voters by name.
 pub type Voters = BTreeMap<Daemon, Voter>;
 
--- a/crates/election/src/replica.rs
+++ b/crates/election/src/replica.rs
@@ -80,8 +80,8 @@
     votes: BTreeMap<Daemon, Mark>,
     progress: BTreeMap<Daemon, Progress>,
     founders: BTreeMap<Daemon, Voter>,
-    /// Replicas whose machines are to be taken away: never voters.
-    unwanted: BTreeSet<Daemon>,
+    /// Hosts that are to be taken away: their replicas must not be voters.
+    unwanted_hosts: BTreeSet<String>,
     /// The leader of this term said that it leaves: the term no longer holds
     /// votes back. As leader: that it said so and proposes nothing more.
     transferred: Option<Term>,
@@ -127,7 +127,7 @@
             votes: BTreeMap::new(),
             progress: BTreeMap::new(),
             founders: BTreeMap::new(),
-            unwanted: BTreeSet::new(),
+            unwanted_hosts: BTreeSet::new(),
             transferred: None,
             leaving: None,
             leave_accepted: false,
--- a/crates/election/src/replica/membership.rs
+++ b/crates/election/src/replica/membership.rs
@@ -4,9 +4,9 @@
 use crate::membership_policy::{next_voters, Peer};
 
 impl<C: Clone + PartialEq> Replica<C> {
-    /// Replicas that must not be voters, as their machines will be taken away.
-    pub fn set_unwanted(&mut self, unwanted: BTreeSet<Daemon>) {
-        self.unwanted = unwanted;
+    /// Hosts that will be taken away: the leader moves votes off them.
+    pub fn set_unwanted_hosts(&mut self, hosts: BTreeSet<String>) {
+        self.unwanted_hosts = hosts;
     }
 
     /// Told to stop. A leader that can't be replaced transfers at once.
@@ -157,8 +157,9 @@
     fn peers(&self, now: Time) -> BTreeMap<Daemon, Peer> {
         let mut peers: BTreeMap<Daemon, Peer> =
             self.progress.iter().map(|(daemon, progress)| (daemon.clone(), self.peer(daemon, progress, now))).collect();
-        let unwanted = self.leaving.is_some() || self.unwanted.contains(&self.settings.id);
-        let me = Peer { voter: self.as_voter(), silent_for: Span::ZERO, eligible: true, unwanted };
+        let voter = self.as_voter();
+        let unwanted = self.leaving.is_some() || self.unwanted_hosts.contains(voter.host());
+        let me = Peer { voter, silent_for: Span::ZERO, eligible: true, unwanted };
         peers.insert(self.settings.id.clone(), me);
         peers
     }
@@ -172,7 +173,7 @@
         let caught_up = !progress.needs_snapshot && progress.matched >= self.commit;
         let reachable = !voter.address.is_empty() || voters.contains_key(daemon);
         let leaves = progress.left.is_some_and(|at| now.since(at) < LEAVE_REMEMBERED);
-        let unwanted = leaves || self.unwanted.contains(daemon);
+        let unwanted = leaves || self.unwanted_hosts.contains(voter.host());
         Peer { eligible: answers && caught_up && reachable, voter, silent_for, unwanted }
     }
 }
--- a/crates/placement/src/primary/retirement.rs
+++ b/crates/placement/src/primary/retirement.rs
@@ -44,8 +44,7 @@
 
     /// Whether a voting placement replica runs on a host.
     fn votes_on(&self, host: &str) -> bool {
-        let at = |d: &Daemon| self.hard.members.get(d).is_some_and(|m| host_of(&m.addr) == host);
-        self.election.members().keys().any(|d| at(d) || d.as_str() == format!("placement-{host}"))
+        self.election.configuration().members().any(|(_, voter)| voter.host() == host)
     }
 }
 
