Write sets bear the losses that the deployment states: 2f+1 stores, synced on f+1

Cause: every partition was kept on three stores and accepted once synced on two, also where two machines may be lost at once.

Change: faultTolerance reaches the startup file as 'tolerates'; a new write set has 2f+1 stores if there are so many, spread evenly over the zones; its keeper sends every op to as many mates as make a majority with it, one of them in another zone, and counts an op once all of these have synced it. The seal already counted a majority of the set. Retiring is refused where the widest set would lack a store.

Not in it: sets that exist are not widened when stores are added later.

--- a/crates/placement/src/primary/replacement.rs
+++ b/crates/placement/src/primary/replacement.rs
@@ -159,15 +159,16 @@
     }
 
     /// The store that would take `out`'s seat in a partition's write set: one
-    /// that is live, in a zone of its own if there is any.
+    /// that is live, from the zone with the fewest seats of the set.
     pub(super) fn heir(&self, place: &Place, out: &Daemon, now: Time) -> Option<Daemon> {
         let set = self.hard.layout.get(place)?;
         let zone = |d: &Daemon| self.hard.members.get(d).map(|m| m.zone.clone());
-        let zones: BTreeSet<_> = set.iter().filter(|s| s.0 != *out).map(|s| zone(&s.0)).collect();
+        let zones: Vec<_> = set.iter().filter(|s| s.0 != *out).map(|s| zone(&s.0)).collect();
+        let seats_in = |z: &Zone| zones.iter().filter(|x| x.as_ref() == Some(z)).count();
         self.hard
             .of(Kind::Store)
             .filter(|m| m.id != *out && self.live(&m.id, now) && !set.iter().any(|s| s.0 == m.id))
-            .min_by_key(|m| (zones.contains(&Some(m.zone.clone())), hash_of(format!("{place}@{}", m.id).as_bytes())))
+            .min_by_key(|m| (seats_in(&m.zone), hash_of(format!("{place}@{}", m.id).as_bytes())))
             .map(|m| m.id.clone())
     }
 
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -44,6 +44,7 @@
     pub calls: Vec<(Time, Daemon, CallId, Call)>,
     pub platform: String,
     pub rate: f64,
+    pub tolerates: Tolerance,
     next: u64,
 }
 
@@ -74,6 +75,9 @@
         Fleet::listing("", 0.0)
     }
     pub fn listing(platform: &str, rate: f64) -> Fleet {
+        Fleet::founded(platform, rate, Tolerance::default())
+    }
+    pub fn founded(platform: &str, rate: f64, tolerates: Tolerance) -> Fleet {
         let mut f = Fleet {
             now: Time(1_000_000),
             cores: BTreeMap::new(),
@@ -85,6 +89,7 @@
             calls: Vec::new(),
             platform: platform.to_string(),
             rate,
+            tolerates,
             next: 1,
         };
         for n in 1..=3 {
@@ -123,6 +128,7 @@
             poll: Span::millis(1000),
             paged: !self.platform.is_empty(),
             list_rate: self.rate,
+            tolerates: self.tolerates,
             seed: hash_of(id.as_str().as_bytes()),
         };
         let files = self.disks.entry(id.clone()).or_default().iter().map(|(n, b)| (n.clone(), b.clone())).collect();
--- a/crates/placement/tests/replacement.rs
+++ b/crates/placement/tests/replacement.rs
@@ -235,3 +235,42 @@
     // The window is a second; every daemon that is left pulls within 400 ms.
     f.until(700, |f| f.primary().is_some_and(|d| f.cores[&d].office == Office::Serving));
 }
+
+fn bearing_two(stores: usize) -> Fleet {
+    let tolerates = Tolerance { machines: 2, ..Tolerance::default() };
+    let mut f = Fleet::founded("", 0.0, tolerates);
+    f.stores(stores);
+    f.until(8_000, |f| f.primary().is_some_and(|d| f.cores[&d].office == Office::Serving));
+    f.run(4_000);
+    assert_eq!(f.put(0, &first()).code, 200);
+    f.run(4_000);
+    f
+}
+
+#[test]
+fn a_write_set_is_as_wide_as_the_losses_to_be_borne_call_for() {
+    for (stores, width) in [(3, 3), (4, 3), (5, 5), (9, 5)] {
+        let f = bearing_two(stores);
+        let layout = &hard(&f).layout;
+        assert!(!layout.is_empty());
+        for set in layout.values() {
+            let mut zones: BTreeMap<&Zone, usize> = BTreeMap::new();
+            for (store, _) in set {
+                *zones.entry(&hard(&f).members[store].zone).or_default() += 1;
+            }
+            assert_eq!(set.len(), width, "of {stores} stores: {set:?}");
+            assert!(zones.values().all(|n| *n <= 2), "{zones:?}");
+        }
+    }
+}
+
+#[test]
+fn a_machine_that_the_widest_set_needs_is_not_retired() {
+    let mut f = bearing_two(5);
+    let machine = "machine-of-store-1".to_string();
+    assert_eq!(f.ask(Ask::RetireMachine { machine: machine.clone() }).code, 409);
+    f.add("store-6", "z3");
+    f.run(2_000);
+    assert_eq!(f.ask(Ask::RetireMachine { machine }).code, 200);
+    f.until(6_000, |f| seats(f, "store-1") == 0);
+}
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -146,6 +146,7 @@
                     seed,
                     paged: false,
                     list_rate: 0.0,
+                    tolerates: Tolerance::default(),
                 };
                 let (c, e) = Placement::new(s, files, mark_of(id), false, self.now);
                 (Box::new(c), e)
--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -94,6 +94,9 @@
     pub limits: Option<Limits>,
     #[serde(default, skip_serializing_if = "usual")]
     pub intake: Intake,
+    /// What may be lost at once with every promise kept.
+    #[serde(default, skip_serializing_if = "usual")]
+    pub tolerates: Tolerance,
 }
 
 fn usual<T: Default + PartialEq>(v: &T) -> bool {
--- a/crates/shell/tests/startup.rs
+++ b/crates/shell/tests/startup.rs
@@ -74,3 +74,18 @@
         assert!(v.get(key).is_none(), "{key} is written out");
     }
 }
+
+#[test]
+fn what_may_be_lost_is_taken_and_one_machine_and_zone_by_default() {
+    let s = read(base()).unwrap();
+    assert_eq!(s.tolerates, Tolerance { machines: 1, zones: 1, regions: 0 });
+    let s = read(with("tolerates", json!({"machines": 2, "zones": 1, "regions": 0}))).unwrap();
+    assert_eq!(s.tolerates.machines, 2);
+    assert!(read(with("tolerates", json!({"machine": 2}))).is_err());
+}
+
+#[test]
+fn a_member_names_its_machine() {
+    let s = read(with("machine", json!("storage-akl-a-1"))).unwrap();
+    assert_eq!(s.member(Mark(1)).machine, "storage-akl-a-1");
+}
--- a/crates/waitlist/tests/replacement.rs
+++ b/crates/waitlist/tests/replacement.rs
@@ -46,6 +46,9 @@
 
 impl Stores {
     fn new() -> Stores {
+        Stores::with_set(&[KEEPER, LEAVER, THIRD])
+    }
+    fn with_set(set: &[&str]) -> Stores {
         let mut s = Stores {
             now: Time::millis(1_000),
             cores: BTreeMap::new(),
@@ -57,7 +60,7 @@
             accepted: BTreeSet::new(),
             asked: 0,
         };
-        for name in [KEEPER, LEAVER, THIRD, JOINER] {
+        for name in set.iter().copied().chain([JOINER]) {
             let startup = Startup {
                 me: member(name),
                 seeds: vec![daemon("placement-1")],
@@ -78,7 +81,7 @@
             s.cores.insert(daemon(name), core);
             s.obey(&daemon(name), out);
         }
-        s.set = [KEEPER, LEAVER, THIRD].iter().map(|n| (daemon(n), s.mark(n))).collect();
+        s.set = set.iter().map(|n| (daemon(n), s.mark(n))).collect();
         s.run(3_000);
         assert_eq!(s.keeper().phase, Phase::Serving);
         s
@@ -253,3 +256,23 @@
     s.run(3_000);
     assert_eq!((s.accepted.len(), s.has(JOINER)), (1, 1));
 }
+
+#[test]
+fn in_a_set_of_five_a_message_is_accepted_once_it_stands_on_three() {
+    let set = [KEEPER, LEAVER, THIRD, "store-5", "store-6"];
+    let mut s = Stores::with_set(&set);
+    s.hand_in(10);
+    let copies = set.iter().filter(|name| s.has(name) == 10).count();
+    assert!(copies >= 3, "{copies} copies");
+    for name in [THIRD, "store-5", "store-6"] {
+        s.cut.insert(daemon(name));
+    }
+    s.asked += 1;
+    s.carry(s.asked, Bytes::from_static(b"late"));
+    s.run(4_000);
+    assert_eq!(s.has(LEAVER), 11);
+    assert!(!s.accepted.contains(&11), "on two only");
+    s.cut.remove(&daemon("store-6"));
+    s.run(4_000);
+    assert_eq!((s.accepted.contains(&11), s.has("store-6")), (true, 11));
+}
--- /dev/null
+++ b/crates/wire/src/tolerance.rs
@@ -0,0 +1,27 @@
+//! What may be lost at the same time with every promise kept.
+use crate::prelude::*;
+
+/// Losses to be borne at once, as the deployment states them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tolerance {
+    pub machines: usize,
+    pub zones: usize,
+    pub regions: usize,
+}
+
+impl Default for Tolerance {
+    fn default() -> Tolerance {
+        Tolerance { machines: 1, zones: 1, regions: 0 }
+    }
+}
+
+impl Tolerance {
+    /// How many of `available` machines replicate what must survive these
+    /// losses: a majority of them is left after as many as may be lost. Three
+    /// at least.
+    pub fn replicas(&self, available: usize) -> usize {
+        let borne = available.saturating_sub(1) / 2;
+        2 * self.machines.clamp(1, borne.max(1)) + 1
+    }
+}
--- a/programs/tests/templates.rs
+++ b/programs/tests/templates.rs
@@ -11,7 +11,7 @@
     ("agent", env!("CARGO_BIN_EXE_dahliawick-agent")),
 ];
 
-const GAPS: [(&str, &str); 14] = [
+const GAPS: [(&str, &str); 17] = [
     ("{{nodeName}}", "machine-1"),
     ("{{ipAddress}}", "10.1.0.40"),
     ("{{zone}}", "z1"),
@@ -24,6 +24,9 @@
     ("{{limits.memoryMb}}", "260"),
     ("{{limits.diskMb}}", "310"),
     ("{{limits.maxFds}}", "4100"),
+    ("{{faultTolerance.machines}}", "2"),
+    ("{{faultTolerance.zones}}", "1"),
+    ("{{faultTolerance.regions}}", "0"),
     ("{{cloudApi.address}}", "10.200.0.70:8065"),
     ("{{cloudApi.ratePerS}}", "40"),
 ];
