--- a/crates/ingest/tests/posts.rs
+++ b/crates/ingest/tests/posts.rs
@@ -33,6 +33,8 @@
         (v, Item::Places(places)),
     ];
     let fresh = Some(Span::secs(60));
+    // News counts only when it was asked for.
+    p.step(Event::Clock, now);
     let msg = Msg::News { asked: now, term: Term(1), fresh, items, grants: Vec::new(), late: Vec::new() };
     p.step(Event::Hear { from: Daemon("agent-1".into()), msg }, now);
     p
