A disk that fails or stalls ends no process, and the cores are told of it

A stalled disk blocked the core's thread once 1024 jobs waited, and a keeper whose disk stood still blocked its partitions.

The core's thread counts how long a save is unanswered, by its own looks so that a freeze does not count, and tells the core (Event::DiskStuck) at 500 ms or at the first failure.

Placement: one save at a time, the newest of those that wait replaces the others; a primary stuck for longer than its lease hands over.

Ruled out: a flag on each save for replacement (the core's own queue of one does it), and telling the keeper of a stuck follower by a new message: its silence moves the second copy after 30 in 100 of a lease, as before.

--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -31,6 +31,8 @@
     pub now: Time,
     pub cores: BTreeMap<Daemon, Placement>,
     disks: BTreeMap<Daemon, BTreeMap<String, Bytes>>,
+    /// Disks that take no writes, and what waits for each.
+    stuck: BTreeMap<Daemon, Vec<Effect>>,
     pub fakes: BTreeMap<Daemon, Fake>,
     /// Cores that hear nothing and are heard by nobody.
     pub cut: BTreeSet<Daemon>,
@@ -67,6 +69,7 @@
             now: Time(1_000_000),
             cores: BTreeMap::new(),
             disks: BTreeMap::new(),
+            stuck: BTreeMap::new(),
             fakes: BTreeMap::new(),
             cut: BTreeSet::new(),
             queue: Queue::new(),
@@ -120,6 +123,30 @@
         self.cores.insert(id.clone(), core);
         self.obey(id, out);
     }
+    /// The files that a daemon would find at its next start.
+    pub fn files(&self, id: &Daemon) -> Vec<(String, Bytes)> {
+        self.disks[id].iter().map(|(name, bytes)| (name.clone(), bytes.clone())).collect()
+    }
+    /// Starts a placement daemon again on these files.
+    pub fn restart_from(&mut self, id: &Daemon, files: Vec<(String, Bytes)>) {
+        self.disks.insert(id.clone(), files.into_iter().collect());
+        self.queue.retain(|(to, _)| to != id);
+        self.start(id, false);
+    }
+    /// From now on a daemon's disk takes no writes.
+    pub fn stick(&mut self, id: &Daemon) {
+        self.stuck.insert(id.clone(), Vec::new());
+        self.step(id, Event::DiskStuck(true));
+    }
+    /// The disk works again and does what waits.
+    pub fn free(&mut self, id: &Daemon) {
+        let waiting = self.stuck.remove(id).unwrap();
+        self.obey(id, waiting);
+        self.step(id, Event::DiskStuck(false));
+    }
+    pub fn waiting_saves(&self, id: &Daemon) -> usize {
+        self.stuck[id].iter().filter(|e| matches!(e, Effect::Save { .. })).count()
+    }
     pub fn add(&mut self, name: &str, zone: &str) {
         let due = self.now + Span(hash_of(name.as_bytes()) % PULL.0);
         let one = Fake {
@@ -152,6 +179,9 @@
                     self.queue.push_back((to, Event::Hear { from: id.clone(), msg }));
                 }
                 Effect::Say(to, Msg::News { asked, term, items, grants, .. }) => self.news(&to, asked, term, items, grants),
+                Effect::Save { .. } | Effect::Remove(_) if self.stuck.contains_key(id) => {
+                    self.stuck.entry(id.clone()).or_default().push(e);
+                }
                 Effect::Save { n, name, bytes } => {
                     self.disks.entry(id.clone()).or_default().insert(name, bytes);
                     self.queue.push_back((id.clone(), Event::Saved(n)));
