A disk that answers every save late counts as stuck too, not only a silent one

Tests: a disk of 220 ms a save is stuck until a quick one; an unreadable owner starts and is claimed again.

--- a/crates/shell/src/disk.rs
+++ b/crates/shell/src/disk.rs
@@ -30,6 +30,8 @@
 #[derive(Default)]
 pub struct DiskProgress {
     saves_done: AtomicU64,
+    /// How long the disk took for the latest of them.
+    last_save_millis: AtomicU64,
     failing: AtomicBool,
 }
 
@@ -143,7 +145,10 @@
             self.folder.claim()?;
             self.claimed = true;
         }
-        self.folder.save(name, bytes)
+        let begun = Instant::now();
+        self.folder.save(name, bytes)?;
+        self.progress.last_save_millis.store(begun.elapsed().as_millis() as u64, Ordering::Release);
+        Ok(())
     }
 
     fn load(&self, n: u64, name: &str, at: u64, len: u32) -> Result<(), Ended> {
@@ -193,8 +198,13 @@
     log::error!("{} {}: {e}", Note::DiskFailed.number(), Note::DiskFailed.what());
 }
 
-/// A save unanswered for so long shows a disk that is stuck.
+/// A disk is stuck when saves were waited for so long, with none among them
+/// that was answered in good time.
 const STUCK_AFTER: Span = Span::millis(500);
+/// A save answered sooner than this shows a disk that works.
+const GOOD_TIME_MILLIS: u64 = 200;
+/// Without a save for so long, a slow disk is tried again.
+const TRIED_AGAIN_AFTER: Span = Span::secs(5);
 /// Two looks further apart than this count as so far apart: a process that
 /// was frozen has not waited for its disk meanwhile.
 const LONGEST_LOOK: Span = Span::millis(100);
@@ -205,7 +215,10 @@
     progress: Arc<DiskProgress>,
     saves_asked: u64,
     saves_seen: u64,
-    unanswered: Span,
+    /// Waited for saves since the last that was answered in good time.
+    waited: Span,
+    /// Since when no save is under way.
+    idle: Span,
     looked: Option<Time>,
     stuck: bool,
 }
@@ -224,13 +237,16 @@
     pub fn look(&mut self, now: Time) -> Option<Event> {
         let since = self.looked.replace(now).map_or(Span::ZERO, |last| now.since(last));
         let done = self.progress.saves_done.load(Ordering::Acquire);
-        if done != self.saves_seen || done == self.saves_asked {
-            self.saves_seen = done;
-            self.unanswered = Span::ZERO;
-        } else {
-            self.unanswered = self.unanswered + since.min(LONGEST_LOOK);
+        let good = self.progress.last_save_millis.load(Ordering::Acquire) < GOOD_TIME_MILLIS;
+        let answered = std::mem::replace(&mut self.saves_seen, done) != done;
+        let under_way = done != self.saves_asked;
+        self.idle = if under_way { Span::ZERO } else { self.idle + since };
+        if (answered && good) || self.idle >= TRIED_AGAIN_AFTER {
+            self.waited = Span::ZERO;
+        } else if under_way || answered {
+            self.waited = self.waited + since.min(LONGEST_LOOK);
         }
-        let stuck = self.unanswered >= STUCK_AFTER || self.progress.failing.load(Ordering::Acquire);
+        let stuck = self.waited >= STUCK_AFTER || self.progress.failing.load(Ordering::Acquire);
         (std::mem::replace(&mut self.stuck, stuck) != stuck).then_some(Event::DiskStuck(stuck))
     }
 }
--- a/crates/shell/tests/disk.rs
+++ b/crates/shell/tests/disk.rs
@@ -11,7 +11,9 @@
 struct FaultyDirectory {
     real: OsDirectory,
     full: AtomicBool,
+    slow: AtomicBool,
     unreadable: AtomicBool,
+    owner_unreadable: AtomicBool,
 }
 
 impl Directory for FaultyDirectory {
@@ -22,7 +24,8 @@
         self.real.names()
     }
     fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
-        if self.unreadable.load(Ordering::Acquire) && name != "owner" {
+        let faulty = if name == "owner" { &self.owner_unreadable } else { &self.unreadable };
+        if faulty.load(Ordering::Acquire) {
             return Err(io::Error::other("bad sector"));
         }
         self.real.read(name)
@@ -35,6 +38,9 @@
             self.real.write_synced(name, &bytes[..bytes.len() / 2])?;
             return Err(io::ErrorKind::StorageFull.into());
         }
+        if self.slow.load(Ordering::Acquire) {
+            std::thread::sleep(Duration::from_millis(220));
+        }
         self.real.write_synced(name, bytes)
     }
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
@@ -63,8 +69,13 @@
         let path = std::env::temp_dir().join(format!("dw-shell-disk-{}-{name}", std::process::id()));
         let _ = std::fs::remove_dir_all(&path);
         std::fs::create_dir_all(&path).unwrap();
-        let (full, unreadable) = (AtomicBool::new(false), AtomicBool::new(false));
-        let disk = Arc::new(FaultyDirectory { real: OsDirectory::new(&path), full, unreadable });
+        let disk = Arc::new(FaultyDirectory {
+            real: OsDirectory::new(&path),
+            full: AtomicBool::new(false),
+            slow: AtomicBool::new(false),
+            unreadable: AtomicBool::new(false),
+            owner_unreadable: AtomicBool::new(false),
+        });
         let folder = Folder::over(disk.clone(), "one").unwrap();
         let (jobs, todo) = unbounded();
         let (ring, events) = bounded(64);
@@ -163,3 +174,34 @@
     assert_eq!(files.read("hard-1"), Bytes::new());
     assert_eq!(files.names(), ["hard-1"]);
 }
+
+#[test]
+fn an_owner_that_can_not_be_read_stops_no_start() {
+    let mut daemon = Daemon::start("owner");
+    daemon.save(1, "hard-1");
+    assert_eq!(daemon.event(), Event::Saved(1));
+    daemon.disk.owner_unreadable.store(true, Ordering::Release);
+    let folder = Folder::over(daemon.disk.clone(), "one").unwrap();
+    assert_eq!(folder.load("hard-1").unwrap(), Bytes::from_static(b"state"));
+    folder.claim().unwrap();
+    daemon.disk.owner_unreadable.store(false, Ordering::Release);
+    assert!(Folder::over(daemon.disk.clone(), "two").is_err());
+}
+
+#[test]
+fn a_disk_that_answers_each_save_late_is_stuck_until_one_is_answered_in_good_time() {
+    let mut daemon = Daemon::start("slow");
+    daemon.disk.slow.store(true, Ordering::Release);
+    let mut seen = None;
+    for n in 1..=4 {
+        daemon.save(n, "hard-1");
+        seen = seen.or(daemon.look_for(Span::millis(200)));
+        assert_eq!(daemon.event(), Event::Saved(n));
+        seen = seen.or(daemon.look_for(Span::millis(20)));
+    }
+    assert_eq!(seen, Some(Event::DiskStuck(true)));
+    daemon.disk.slow.store(false, Ordering::Release);
+    daemon.save(5, "hard-1");
+    assert_eq!(daemon.event(), Event::Saved(5));
+    assert_eq!(daemon.look_for(Span::millis(40)), Some(Event::DiskStuck(false)));
+}
