Simulate machines that come and go, full disks, lost answers and faults after an order

Cause: the simulator knew three daemons of each kind with fixed seeds, and no fault of the fleet as a whole.

Change: acts replace, add, remove, address, seeds, power, fill, empty DAEMON, stall, lose-answers, after-ack, rivals, reads and calls. A world's fleet may grow beyond the founders. Every sending of an operator of routed messages is noted in the checker's control history, and must be linearizable.

--- a/crates/sim/src/day.rs
+++ b/crates/sim/src/day.rs
@@ -16,7 +16,7 @@
 /// Whether the spool is served and every proxy takes callers.
 fn ready(w: &mut World) -> bool {
     let mut serving = 0;
-    for id in names().into_iter().filter(|d| d.kind() == Kind::Store) {
+    for id in founders().into_iter().filter(|d| d.kind() == Kind::Store) {
         let Some(j) = w.status(&id) else { return false };
         serving += j["places"].as_array().into_iter().flatten().filter(|p| p["phase"] == "serving").count();
     }
@@ -33,7 +33,7 @@
     w.body = script.body;
     w.mail.on = true;
     w.mail.routing = script.routing.clone().unwrap_or_default();
-    for id in names() {
+    for id in founders() {
         w.start(&id, id.kind() == Kind::Placement);
     }
     w.state_routes();
@@ -94,6 +94,8 @@
     found.receipts = w.seen.posts.iter().map(|p| p.runs.len()).sum();
     found.reruns = w.seen.posts.iter().map(|p| p.runs.len().saturating_sub(1)).sum();
     found.call_backs = w.seen.posts.iter().map(|p| p.backs.len()).sum();
+    found.broken.extend(w.control.violations().into_iter().map(|violation| format!("control: {violation}")));
+    w.count("operations of operators", w.control.operations.len() as u64);
     if found.accepted < script.accepted {
         found.broken.push(format!("{} accepted, {} expected", found.accepted, script.accepted));
     }
--- a/crates/sim/src/mail.rs
+++ b/crates/sim/src/mail.rs
@@ -49,12 +49,14 @@
 pub struct Ordering {
     pub ask: Ask,
     pub what: What,
-    /// Which placement daemon is asked next.
-    pub to: u64,
+    /// Which placement daemon is asked next, by its place on the list.
+    pub to: usize,
     pub tries: u32,
     pub over: bool,
     /// The sending that is awaited.
     pub awaited: u32,
+    /// The sending that is awaited, in the control history.
+    pub operation: usize,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -63,7 +65,10 @@
     Charter(usize),
     Empty(String),
     Restore(String),
+    /// The charter is read back at the end.
     Show,
+    /// The charter is read back during the run.
+    Read,
 }
 
 /// Invariant: of `names` there is one for each message that was accepted.
--- a/crates/sim/src/world/acts.rs
+++ b/crates/sim/src/world/acts.rs
@@ -4,12 +4,11 @@
 
 impl World {
     pub(super) fn all(&self, zone: Option<&str>) -> Vec<Daemon> {
-        names().into_iter().filter(|d| zone.is_none_or(|z| zone_of(d.as_str()).as_str() == z)).collect()
+        self.fleet.iter().filter(|d| zone.is_none_or(|z| zone_of(d.as_str()).as_str() == z)).cloned().collect()
     }
 
     pub(super) fn primary(&mut self) -> String {
-        for n in 1..=3 {
-            let id = Daemon(format!("placement-{n}"));
+        for id in self.placements() {
             if self.status(&id).is_some_and(|j| j["may_act"] == json!(true)) {
                 return id.0;
             }
@@ -19,7 +18,7 @@
 
     pub(super) fn name(&mut self, who: &str) -> Daemon {
         match who {
-            "primary" => Daemon(self.primary()),
+            "primary" | "leader" => Daemon(self.primary()),
             w => Daemon(w.to_string()),
         }
     }
@@ -69,6 +68,13 @@
                 Span::ZERO => self.check.open(now),
                 _ => self.check.shut(now),
             },
+            Act::Fleet(FleetAct::Replace(..) | FleetAct::Add(_) | FleetAct::Remove(_) | FleetAct::Power(_)) => {
+                self.check.fault(now, now)
+            }
+            Act::Fleet(FleetAct::Fill(w)) => lasts(format!("full {w}"), true),
+            Act::Fleet(FleetAct::Free(w)) => lasts(format!("full {w}"), false),
+            Act::Fleet(FleetAct::Stall(_, time)) => self.check.fault(now, now + *time),
+            Act::Fleet(FleetAct::Calls(fault, share)) => lasts(format!("calls {fault:?}"), *share > 0),
             _ => {}
         }
     }
@@ -252,6 +258,7 @@
                 self.operate(ask, "", "plan");
             }
             Act::Retire(w) => self.operate(Ask::Retire { store: Daemon(w) }, "", "retire"),
+            Act::Fleet(act) => self.fleet_act(act),
         }
     }
 }
--- a/crates/sim/src/world/calls.rs
+++ b/crates/sim/src/world/calls.rs
@@ -20,6 +20,9 @@
         }
         let ev = lost(Sent::Maybe);
         self.soon(limit, ev);
+        if self.reset(id, life, call_id) {
+            return;
+        }
         self.soon(trip, Ev::Arrive { node: id.clone(), life, id: call_id, call: Box::new(call), worker });
     }
 
@@ -27,6 +30,7 @@
         if !self.calls.remove(&(node.clone(), life, id)) || self.nodes.get(node).is_none_or(|n| n.life != life) {
             return;
         }
+        let reply = self.as_received(node, life, id, reply);
         let answered = matches!(reply, Reply::Ran { .. });
         if let (Some((post, run)), true) = (self.floor.answers.remove(&(node.clone(), life, id)), answered) {
             if self.nodes.get(node).is_some_and(|n| n.core.is_some()) {
--- /dev/null
+++ b/crates/sim/src/world/control.rs
@@ -0,0 +1,48 @@
+//! The history of operators' orders and answers, for the checker.
+use crate::prelude::*;
+
+/// A charter's text for comparing, without what placement fills in.
+pub(super) fn plain(charter: &Charter) -> String {
+    let bare = Charter { spool: 0, ..charter.clone() };
+    serde_json::to_value(&bare).unwrap_or_default().to_string()
+}
+
+/// What an operator's order asks for, in the checker's words.
+pub(super) fn action(what: &What) -> Action {
+    match what {
+        What::Charter(order) => Action::Configure(*order),
+        What::Empty(zone) => Action::Evacuate { zone: zone.clone(), on: true },
+        What::Restore(zone) => Action::Evacuate { zone: zone.clone(), on: false },
+        What::Show | What::Read => Action::ReadConfiguration,
+    }
+}
+
+/// What an operator learns from a verdict, or from none.
+pub(super) fn answer(what: &What, verdict: Option<&Verdict>) -> Answer {
+    let Some(verdict) = verdict else { return Answer::Unclear };
+    match (verdict.code, what) {
+        (200, What::Show | What::Read) => configuration(verdict),
+        (404, What::Show | What::Read) => Answer::Configuration { revision: 0, content: String::new() },
+        (200, _) => Answer::Acknowledged,
+        (409 | 412, _) => Answer::OtherIsCurrent,
+        (400 | 404 | 413 | 422, _) => Answer::Invalid,
+        _ => Answer::Unclear,
+    }
+}
+
+fn configuration(verdict: &Verdict) -> Answer {
+    let text = verdict.body.as_ref().map(|body| String::from_utf8_lossy(body).to_string()).unwrap_or_default();
+    match dw_charter::check::read(&text) {
+        Ok(charter) => Answer::Configuration { revision: charter.revision, content: plain(&charter) },
+        Err(error) => Answer::Configuration { revision: u64::MAX, content: error.to_string() },
+    }
+}
+
+impl World {
+    /// Reads the configuration now, and every so often if a script wants it.
+    pub(super) fn read_configuration(&mut self) {
+        let Some(pace) = self.reads.filter(|_| !self.stopped) else { return };
+        self.soon(pace, Ev::Routed(Turn::Read));
+        self.order(Ask::CharterShow, What::Read);
+    }
+}
--- a/crates/sim/src/world/operators.rs
+++ b/crates/sim/src/world/operators.rs
@@ -7,8 +7,7 @@
     /// The operator asks every placement daemon; the primary answers.
     pub fn operate(&mut self, ask: Ask, base: &str, what: &str) {
         let (base, what) = (base.to_string(), what.to_string());
-        for n in 1..=3 {
-            let to = Daemon(format!("placement-{n}"));
+        for to in self.placements() {
             let asked = Asked::Operator { base: base.clone(), what: what.clone() };
             self.ask(&to, ask.clone(), asked);
         }
@@ -56,6 +55,7 @@
                 self.check.shares(shares, self.now);
             }
             self.acked = Some((version, json.to_string()));
+            self.acknowledged();
         }
         if let Some(zone) = what.strip_prefix("empty ") {
             if v.code == 200 {
@@ -86,7 +86,7 @@
     /// Whether a partition is served and every duty held.
     pub fn ready(&mut self) -> bool {
         let mut serving = 0;
-        for id in names().into_iter().filter(|d| d.kind() == Kind::Store) {
+        for id in founders().into_iter().filter(|d| d.kind() == Kind::Store) {
             let Some(j) = self.status(&id) else { return false };
             for p in j["places"].as_array().into_iter().flatten() {
                 serving += u64::from(p["phase"] == "serving");
@@ -103,7 +103,7 @@
             Some((a.parse().ok()?, b.parse().ok()?))
         };
         let want = read(version);
-        for id in names().into_iter().filter(|d| d.kind() != Kind::Placement) {
+        for id in self.all(None).into_iter().filter(|d| d.kind() != Kind::Placement) {
             let Some(j) = self.status(&id) else { continue };
             let held = j["charter"].as_str().and_then(read);
             if j["fresh"] == json!(true) && held < want {
--- a/crates/sim/src/world/processes.rs
+++ b/crates/sim/src/world/processes.rs
@@ -9,7 +9,7 @@
     pub fn start(&mut self, id: &Daemon, found: bool) {
         let (seed, now) = (self.seed, self.now);
         let Some(n) = self.nodes.get_mut(id) else { return };
-        if n.core.is_some() {
+        if n.core.is_some() || n.removed {
             return;
         }
         n.life += 1;
@@ -18,8 +18,18 @@
         n.disk.jobs.clear();
         n.disk.busy = false;
         let files = n.disk.durable.iter().map(|(k, v)| (k.clone(), v.clone())).collect();
-        let (core, first) =
-            build(id, n.life, files, found, seed, &self.bounds, n.clock(now), (DAY + now.0).saturating_add_signed(n.wall));
+        let (core, first) = build(Build {
+            id,
+            life: n.life,
+            host: &n.host,
+            seeds: &n.seeds,
+            files,
+            found,
+            seed,
+            bounds: &self.bounds,
+            now: n.clock(now),
+            wall: (DAY + now.0).saturating_add_signed(n.wall),
+        });
         n.core = Some(core);
         let life = n.life;
         self.effects(id, first);
--- a/crates/sim/src/world/revising.rs
+++ b/crates/sim/src/world/revising.rs
@@ -1,5 +1,6 @@
 //! The operator of routed messages: charters with a number of their own,
 //! zones emptied and taken back.
+use super::control::{action, answer, plain};
 use crate::prelude::*;
 use serde_json::{json, Value};
 
@@ -22,16 +23,10 @@
     c.routes.iter().map(one).collect()
 }
 
-/// A charter's text for comparing, without what placement fills in.
-fn plain(c: &Charter) -> String {
-    let bare = Charter { spool: 0, ..c.clone() };
-    serde_json::to_value(&bare).unwrap_or_default().to_string()
-}
-
 impl World {
-    fn order(&mut self, ask: Ask, what: What) {
-        let to = self.rng.u64(..3);
-        self.mail.orders.push(Ordering { ask, what, to, tries: 0, over: false, awaited: 0 });
+    pub(super) fn order(&mut self, ask: Ask, what: What) {
+        let to = self.rng.usize(..self.placements().len().max(1));
+        self.mail.orders.push(Ordering { ask, what, to, tries: 0, over: false, awaited: 0, operation: 0 });
         self.order_again(self.mail.orders.len() - 1);
     }
 
@@ -43,7 +38,10 @@
             o.over = true;
             return self.count("orders left", 1);
         }
-        let (to, ask, tries) = (Daemon(format!("placement-{}", o.to % 3 + 1)), o.ask.clone(), o.tries);
+        o.operation = self.control.call(action(&o.what), self.now);
+        let (place, ask, tries) = (o.to, o.ask.clone(), o.tries);
+        let placements = self.placements();
+        let to = placements[place % placements.len()].clone();
         let at = self.next_ask;
         match self.ask(&to, ask, Asked::Order(n, tries)) {
             true => self.soon(SILENCE, Ev::AskTimeout(AskId(at))),
@@ -52,9 +50,12 @@
     }
 
     fn order_elsewhere(&mut self, n: usize, hint: Option<String>) {
+        let hinted = hint.and_then(|address| self.at_address(&address));
+        let told = self.placements().iter().position(|d| Some(d) == hinted.as_ref());
+        let now = self.now;
         let Some(o) = self.mail.orders.get_mut(n) else { return };
-        let told = hint.and_then(|h| h.strip_prefix("placement-")?.split(':').next()?.parse::<u64>().ok());
-        o.to = told.map_or(o.to + 1, |t| t - 1);
+        self.control.answered(o.operation, Answer::Unclear, now);
+        o.to = told.unwrap_or(o.to + 1);
         let pause = if told.is_some() { Span::millis(2) } else { Span::millis(50 + 40 * u64::from(o.tries.min(12))) };
         self.soon(pause, Ev::Routed(Turn::Order(n)));
     }
@@ -62,6 +63,7 @@
     pub(super) fn ordered(&mut self, n: usize, tries: u32, v: Option<Verdict>) {
         let now = self.now;
         let Some(o) = self.mail.orders.get_mut(n).filter(|o| !o.over && o.awaited == tries) else { return };
+        self.control.answered(o.operation, answer(&o.what, v.as_ref()), now);
         let Some(v) = v else { return self.order_elsewhere(n, None) };
         match v.code {
             200 => o.over = true,
@@ -70,6 +72,9 @@
         }
         let (what, good) = (o.what.clone(), v.code == 200);
         self.say(format!("operator told {} for {what:?}", v.code));
+        if good && !matches!(what, What::Show | What::Read) {
+            self.acknowledged();
+        }
         match what {
             What::Charter(c) => {
                 let s = &mut self.seen.charters[c];
@@ -84,7 +89,7 @@
             }
             What::Empty(z) if good => self.seen.zones.push((z, now, None)),
             What::Show if good => self.shown_back(v),
-            What::Empty(_) | What::Restore(_) | What::Show => {}
+            What::Empty(_) | What::Restore(_) | What::Show | What::Read => {}
         }
     }
 
@@ -123,6 +128,7 @@
             routes: routes_of(&c),
             text: plain(&c),
         };
+        self.control.order(ConfigurationOrder { base, revision: c.revision, content: plain(&c), valid });
         self.seen.charters.push(stated);
         if valid {
             self.mail.charter = serde_json::to_value(&c).unwrap_or_default();
@@ -240,6 +246,28 @@
         }
     }
 
+    /// So many operators send at once, all on top of the same revision; every
+    /// two of them chose the same number for different changes.
+    pub(super) fn rivals(&mut self, count: u64) {
+        if !self.settled() {
+            return;
+        }
+        let base = self.build_on();
+        let standing = self.mail.charter.clone();
+        let mut revision = base;
+        for rival in 0..count {
+            if rival % 2 == 0 {
+                revision = self.next_revision();
+            }
+            self.mail.changes += 1;
+            let route = extra_route(self.mail.changes, self.mail.routing.worth);
+            let part = json!({"revision": revision, "routes": [route]});
+            self.mail.charter = standing.clone();
+            self.revise(base, part, true, true);
+        }
+        self.mail.charter = standing;
+    }
+
     /// Charters that must be refused, one of each kind.
     pub(super) fn bad_charters(&mut self) {
         if !self.settled() {
--- a/crates/sim/src/world/routed.rs
+++ b/crates/sim/src/world/routed.rs
@@ -31,6 +31,8 @@
     Received(String),
     Order(usize),
     Change,
+    /// The configuration is read back.
+    Read,
     Release {
         service: String,
         old: String,
@@ -78,6 +80,7 @@
             }
             Turn::Order(n) => self.order_again(n),
             Turn::Change => self.change(),
+            Turn::Read => self.read_configuration(),
             Turn::Release { service, old, step } => self.release(service, old, step),
             Turn::Moves { service, zone, addr } => {
                 // Taken meanwhile, or free: then another service moves in.
@@ -179,7 +182,7 @@
     /// Tells the checker of routed messages what is done to the daemons.
     pub(super) fn note_trouble(&mut self, act: &Act) {
         let now = self.now;
-        let down = |w: &World| -> Vec<Daemon> { names().into_iter().filter(|d| w.nodes[d].core.is_none()).collect() };
+        let down = |w: &World| -> Vec<Daemon> { w.all(None).into_iter().filter(|d| w.nodes[d].core.is_none()).collect() };
         match act {
             Act::Kill(d) | Act::Abort(d) | Act::Wipe(d) => {
                 let d = self.name(d);
@@ -214,6 +217,7 @@
             Act::Disk(d, s) => self.lasts(&format!("disk {d}"), Self::whom(d), *s > Span::ZERO),
             Act::Clock(..) => self.trouble(now, None, Sort::Struck),
             Act::Wall(..) => self.seen.days_apart = true,
+            Act::Fleet(act) => self.note_fleet_trouble(act),
             Act::List(x) if x != "well" => self.mail.list_since = Some(now),
             Act::List(_) => {
                 if let Some(from) = self.mail.list_since.take() {
@@ -224,6 +228,33 @@
         }
     }
 
+    /// Tells the checker of routed messages what is done to the fleet.
+    fn note_fleet_trouble(&mut self, act: &FleetAct) {
+        match act {
+            FleetAct::Replace(who, _) | FleetAct::Remove(who) => {
+                let who = self.name(who);
+                self.mail.leaving.remove(&who);
+                self.downs(&who.0);
+            }
+            FleetAct::Power(who) => self.named(who).iter().for_each(|d| self.downs(&d.0)),
+            FleetAct::Fill(who) => self.lasts(&format!("full {who}"), Self::whom(who), true),
+            FleetAct::Free(who) => self.lasts(&format!("full {who}"), None, false),
+            FleetAct::Stall(who, time) => {
+                let (from, to) = (self.now, self.now + *time);
+                self.seen.troubles.push(Trouble { from, to, who: Self::whom(who), sort: Sort::Struck });
+            }
+            FleetAct::Calls(fault, share) => self.lasts(&format!("calls {fault:?}"), None, *share > 0),
+            _ => {}
+        }
+    }
+
+    /// A new machine starts.
+    pub(super) fn joins(&mut self, id: &Daemon) {
+        self.say(format!("{id} starts for the first time"));
+        self.comes_back(id);
+        self.start(id, false);
+    }
+
     /// Whatever still lasts at the end has lasted until then.
     pub fn close_troubles(&mut self) {
         for what in self.mail.open.keys().cloned().collect::<Vec<_>>() {
--- a/crates/sim/src/world/running.rs
+++ b/crates/sim/src/world/running.rs
@@ -24,6 +24,9 @@
             None => {}
         }
         self.soon(limit, far);
+        if self.reset(node, life, id) {
+            return;
+        }
         let trip = Span(200 + self.rng.u64(..800));
         self.soon(trip, Ev::Routed(Turn::Land { node: node.clone(), life, id, call: Box::new(call), at }));
     }
--- a/crates/sim/src/world/sending.rs
+++ b/crates/sim/src/world/sending.rs
@@ -28,7 +28,17 @@
         true
     }
 
+    /// Whether an answer is lost on its way to an operator, who then waits for
+    /// it in vain.
+    fn answer_is_lost(&mut self, id: AskId) -> bool {
+        let operator = matches!(self.asks.get(&id), Some((_, Asked::Operator { .. } | Asked::Order(..))));
+        operator && self.lost_answers > 0 && self.rng.u64(..100) < self.lost_answers
+    }
+
     pub(super) fn told(&mut self, id: AskId, v: Option<Verdict>) {
+        if v.is_some() && self.answer_is_lost(id) {
+            return self.count("answers lost", 1);
+        }
         let Some((node, asked)) = self.asks.remove(&id) else { return };
         if let Some(n) = self.nodes.get_mut(&node) {
             n.asks.remove(&id);
