--- a/crates/sim/src/day.rs
+++ b/crates/sim/src/day.rs
@@ -96,6 +96,10 @@
     found.call_backs = w.seen.posts.iter().map(|p| p.backs.len()).sum();
     found.broken.extend(w.control.violations().into_iter().map(|violation| format!("control: {violation}")));
     w.count("operations of operators", w.control.operations.len() as u64);
+    let changes = w.counts.get("charters").copied().unwrap_or(0);
+    if changes < script.changes {
+        found.broken.push(format!("{changes} configurations acknowledged, {} expected", script.changes));
+    }
     if found.accepted < script.accepted {
         found.broken.push(format!("{} accepted, {} expected", found.accepted, script.accepted));
     }
--- a/crates/sim/src/world/acts.rs
+++ b/crates/sim/src/world/acts.rs
@@ -108,7 +108,7 @@
                 let d = self.name(&w);
                 self.kill(&d);
                 if let Some(n) = self.nodes.get_mut(&d) {
-                    n.disk.durable.clear();
+                    n.disk.wipe();
                 }
             }
             Act::Off(z) => self.all(Some(&z)).iter().for_each(|d| self.kill(d)),
--- a/crates/sim/src/world/disks.rs
+++ b/crates/sim/src/world/disks.rs
@@ -21,6 +21,12 @@
         }
     }
 
+    /// Everything on it is lost.
+    pub(super) fn wipe(&mut self) {
+        self.durable.clear();
+        self.removed.clear();
+    }
+
     /// What a power loss leaves: the write under way and each removal that
     /// was not synced are kept or lost, each by itself.
     fn lose_power(&mut self, rng: &mut fastrand::Rng) {
