--- a/crates/disk/tests/power_loss/hard_state.rs
+++ b/crates/disk/tests/power_loss/hard_state.rs
@@ -1,13 +1,13 @@
 //! The versions of placement's hard state.
 use super::*;
 use dw_placement::hard_files::{Found, HardFiles};
-use dw_placement::prelude::{Mark, Order, Stored, Term};
+use dw_placement::prelude::{HardState, Mark, Order, Term};
 use proptest::prelude::*;
 
 const MARK: Mark = Mark(7);
 
-fn state(term: u64) -> Stored<Order> {
-    Stored { term: Term(term), ..Stored::fresh(MARK) }
+fn state(term: u64) -> HardState<Order> {
+    HardState { term: Term(term), ..HardState::fresh(MARK) }
 }
 
 /// What a replica asked to have saved, and what it was told is.
--- a/crates/disk/tests/power_loss/store.rs
+++ b/crates/disk/tests/power_loss/store.rs
@@ -17,6 +17,7 @@
 
 fn startup() -> Startup {
     let me = Member {
+        machine: String::new(),
         id: daemon("store-1"),
         zone: Zone("z1".into()),
         addr: String::new(),
--- a/crates/placement/tests/disk.rs
+++ b/crates/placement/tests/disk.rs
@@ -16,7 +16,7 @@
     let mut files = saved_files(&fleet, &standby);
     files.insert(0, ("hard-0000000000000001".to_string(), Bytes::new()));
     fleet.restart_from(&standby, files);
-    assert_eq!(fleet.cores[&standby].election.role(), Role::Standby);
+    assert_eq!(fleet.cores[&standby].election.role(), Role::Follower);
     assert_eq!(fleet.put(0, &first()).code, 200);
     fleet.run(2_000);
     assert_eq!(fleet.files(&standby).len(), 1, "the older file is removed behind the next save");
@@ -30,7 +30,7 @@
     files.push(("hard-00000000ffffffff".to_string(), Bytes::new()));
     for _ in 0..2 {
         fleet.restart_from(&standby, files.clone());
-        assert_eq!(fleet.cores[&standby].election.role(), Role::Amnesiac);
+        assert_eq!(fleet.cores[&standby].election.role(), Role::Learner);
         // Neither file may go before a newer one is saved.
         assert_eq!(fleet.files(&standby).len(), 2);
     }
@@ -47,7 +47,7 @@
     assert_eq!(fleet.put(0, &first()).code, 200);
     fleet.free(&primary);
     fleet.run(3_000);
-    assert_eq!(fleet.cores[&primary].election.role(), Role::Standby);
+    assert_eq!(fleet.cores[&primary].election.role(), Role::Follower);
 }
 
 #[test]
--- a/crates/versions/tests/lives.rs
+++ b/crates/versions/tests/lives.rs
@@ -5,6 +5,7 @@
 
 fn member() -> Member {
     Member {
+        machine: String::new(),
         id: Daemon("store-1".into()),
         zone: Zone("z1".into()),
         addr: "store-1:1".into(),
@@ -24,7 +25,15 @@
 
 fn grant() -> Grant {
     let epoch = Epoch { term: Term(1), count: 1 };
-    Grant { duty: Duty::of_address("10.0.0.9:80"), epoch, set: Vec::new(), swap: None, shed: false, slice: None }
+    Grant {
+        duty: Duty::of_address("10.0.0.9:80"),
+        epoch,
+        set: Vec::new(),
+        swap: None,
+        swap_number: Version::ZERO,
+        shed: false,
+        slice: None,
+    }
 }
 
 /// Whether the link holds what is granted in news that was asked for at `asked`.
--- a/crates/waitlist/tests/disk_stuck.rs
+++ b/crates/waitlist/tests/disk_stuck.rs
@@ -21,6 +21,7 @@
 
 fn member(n: u64) -> Member {
     Member {
+        machine: String::new(),
         id: store(n),
         zone: Zone(format!("z{n}")),
         addr: format!("store-{n}:1"),
@@ -122,7 +123,8 @@
             (version(self.epoch), Item::Places(vec![(place(), placing)])),
         ];
         let set = (1..=3).map(|n| (store(n), Mark(n))).collect();
-        let grant = Grant { duty: Duty::Keep(place()), epoch, set, swap: None, shed: false, slice: None };
+        let grant =
+            Grant { duty: Duty::Keep(place()), epoch, set, swap: None, swap_number: Version::ZERO, shed: false, slice: None };
         let grants = if *to == store(self.keeper) { vec![grant] } else { Vec::new() };
         Msg::News { asked, term: TERM, fresh: Some(Span::secs(2)), items, grants, late: Vec::new() }
     }
@@ -261,7 +263,7 @@
 #[test]
 fn a_follower_with_a_stuck_disk_gives_way_to_another_in_time() {
     let mut fleet = Fleet::new();
-    let mate = fleet.own(1).unwrap().mate.clone().unwrap();
+    let mate = fleet.own(1).unwrap().mates.keys().next().cloned().unwrap();
     let number = (1..=3).find(|n| store(*n) == mate).unwrap();
     fleet.stick(number);
     fleet.carry(1, 1);
