The placement group has 2f+1 voters; a machine is emptied once that is committed

Cause: the program passed the default policy (one loss), so a group of three stayed where two losses have to be borne; and the vote of a retiring machine was looked for in the latest configuration, committed or not, so 'gone' could be told while the machine still counted. Both found by reading. Tests: placement/tests/retirement.rs, two more.

--- a/crates/election/src/replica/membership.rs
+++ b/crates/election/src/replica/membership.rs
@@ -106,7 +106,7 @@
     }
 
     /// Whether the latest configuration is committed and no change under way.
-    fn membership_settled(&self) -> bool {
+    pub fn membership_settled(&self) -> bool {
         !self.configuration.is_joint() && self.configuration_index <= self.commit
     }
 
--- a/crates/placement/src/primary/retirement.rs
+++ b/crates/placement/src/primary/retirement.rs
@@ -42,9 +42,11 @@
         stores.map(|m| host_of(&m.addr).to_string()).collect()
     }
 
-    /// Whether a voting placement replica runs on a host.
+    /// Whether a voting placement replica runs on a host, or may still count
+    /// as one: until a configuration without it is committed.
     fn votes_on(&self, host: &str) -> bool {
-        self.election.configuration().members().any(|(_, voter)| voter.host() == host)
+        let named = self.election.configuration().members().any(|(_, voter)| voter.host() == host);
+        named || !self.election.membership_settled()
     }
 }
 
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -122,7 +122,6 @@
         let startup = Startup {
             me: member(id.as_str(), &id.as_str().replace("placement-", "z")),
             seeds: names.collect(),
-            policy: MembershipPolicy::default(),
             terms: Terms::default(),
             election: ElectionTiming::default(),
             window: Span::millis(1000),
--- a/crates/placement/tests/retirement.rs
+++ b/crates/placement/tests/retirement.rs
@@ -81,6 +81,42 @@
     assert_eq!(f.cores[&primary].retiring_hosts(), hosts);
 }
 
+/// The vote of the machine is held by a spare before "gone" is told, so that
+/// right after it another voter can be lost.
+#[test]
+fn a_machine_with_a_vote_is_gone_once_a_spare_votes_and_another_loss_is_borne() {
+    for second in ["placement-2", "placement-3"] {
+        let mut f = spooled(4);
+        f.fakes.get_mut(&daemon("store-1")).unwrap().me.addr = "placement-1:9".to_string();
+        f.start(&daemon("placement-4"), false);
+        f.run(2_000);
+        assert_eq!(retire(&mut f, "machine-of-store-1"), 200);
+        let begun = f.now;
+        while told(&mut f, "machine-of-store-1").1 != "gone" {
+            assert!(f.now.since(begun) < Span::millis(8_000));
+        }
+        f.kill(&daemon("placement-1"));
+        f.fakes.remove(&daemon("store-1"));
+        f.kill(&daemon(second));
+        f.run(6_000);
+        let primary = f.primary().unwrap_or_else(|| panic!("no majority is left without {second}"));
+        let voters = f.cores[&primary].election.configuration().names();
+        assert!(voters.contains(&daemon("placement-4")) && !voters.contains(&daemon("placement-1")), "{voters:?}");
+    }
+}
+
+/// Two losses at once need five voters; they are found without an order.
+#[test]
+fn the_placement_group_grows_to_what_the_deployment_has_to_bear() {
+    let mut f = Fleet::founded("", 0.0, Tolerance { machines: 2, ..Tolerance::default() });
+    for n in 4..=6 {
+        f.start(&daemon(&format!("placement-{n}")), false);
+    }
+    f.run(4_000);
+    let primary = f.primary().expect("a primary");
+    assert_eq!(f.cores[&primary].election.configuration().voters.len(), 5);
+}
+
 #[test]
 fn a_new_machine_at_the_address_of_one_that_retired_is_used() {
     let mut f = spooled(4);
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::thread_time::{nanos, reading_cost};
 use dw_delivery::prelude::{Delivery, Startup as Carrier};
 use dw_ingest::prelude::{Agent, Proxy, Startup as Edge};
-use dw_placement::prelude::{ElectionTiming, Hard, MembershipPolicy, Placement, Startup as Placer};
+use dw_placement::prelude::{ElectionTiming, Hard, Placement, Startup as Placer};
 use dw_shell::prelude::{Bounds, Times};
 use dw_waitlist::prelude::{Startup as Keeper, Store};
 use std::collections::HashMap;
@@ -135,7 +135,6 @@
             Kind::Placement => {
                 let s = Placer {
                     seeds,
-                    policy: MembershipPolicy::default(),
                     me,
                     terms,
                     election: ElectionTiming::default(),
