--- a/crates/checker/src/control.rs
+++ b/crates/checker/src/control.rs
@@ -7,7 +7,7 @@
 //! the sequential model (linearizability). Registers are independent, so each
 //! is checked by itself.
 mod configuration;
-mod evacuation;
 mod history;
+mod zone_order;
 
 pub use history::{Action, Answer, ConfigurationOrder, History, Operation};
--- a/crates/checker/src/control/history.rs
+++ b/crates/checker/src/control/history.rs
@@ -1,5 +1,5 @@
 //! What operators sent, when, and what they were answered.
-use super::{configuration, evacuation};
+use super::{configuration, zone_order};
 use crate::prelude::*;
 
 /// A change of the configuration. The same order may be sent many times.
@@ -25,7 +25,7 @@
         zone: String,
         on: bool,
     },
-    ReadEvacuation {
+    ReadZone {
         zone: String,
     },
 }
@@ -89,7 +89,7 @@
     /// Everything that no sequential order of the operations explains.
     pub fn violations(&self) -> Vec<String> {
         let mut found: Vec<String> = configuration::violation(self).into_iter().collect();
-        found.extend(self.zones().into_iter().filter_map(|zone| evacuation::violation(self, zone)));
+        found.extend(self.zones().into_iter().filter_map(|zone| zone_order::violation(self, zone)));
         found
     }
 
@@ -111,10 +111,10 @@
 }
 
 impl Action {
-    /// The zone that an evacuation, or a read of one, is about.
+    /// The zone that an emptied zone, or a read of one, is about.
     pub fn zone(&self) -> Option<&str> {
         match self {
-            Action::Evacuate { zone, .. } | Action::ReadEvacuation { zone } => Some(zone),
+            Action::Evacuate { zone, .. } | Action::ReadZone { zone } => Some(zone),
             Action::Configure(_) | Action::ReadConfiguration => None,
         }
     }
--- a/crates/checker/src/control/evacuation.rs
+++ b/crates/checker/src/control/zone_order.rs
@@ -1,4 +1,4 @@
-//! One zone's evacuation as a flag that is set, cleared and read.
+//! One zone's emptying as a flag that is set, cleared and read.
 //!
 //! A write whose answer stayed unclear may take effect once, at any later
 //! time. Only how many such writes of each value are used up matters, so the
@@ -44,7 +44,7 @@
             }
         }
         if search.states.len() > STATES_MAX {
-            return Some(format!("undecided: more than {STATES_MAX} states of the evacuation of {zone} are possible"));
+            return Some(format!("undecided: more than {STATES_MAX} states of the emptying of {zone} are possible"));
         }
     }
     None
@@ -123,6 +123,6 @@
         let operation = &self.history.operations[index];
         let (called, returned) = (operation.called.0 / 1000, operation.returned.unwrap_or_default().0 / 1000);
         let answer = &operation.answer;
-        format!("the evacuation of {zone}, read at {called} ms, was answered {answer:?} at {returned} ms")
+        format!("the emptying of {zone}, read at {called} ms, was answered {answer:?} at {returned} ms")
     }
 }
--- a/crates/checker/tests/control.rs
+++ b/crates/checker/tests/control.rs
@@ -33,7 +33,7 @@
     }
 
     fn evacuated(&mut self, called: u64, returned: u64, on: bool) -> &mut Rows {
-        self.row(Action::ReadEvacuation { zone: "z1".into() }, called, returned, Answer::Evacuated(on))
+        self.row(Action::ReadZone { zone: "z1".into() }, called, returned, Answer::Evacuated(on))
     }
 
     #[track_caller]
@@ -233,25 +233,25 @@
 }
 
 #[test]
-fn an_evacuation_follows_its_orders() {
+fn a_zone_order_follows_its_orders() {
     let mut rows = Rows::default();
     rows.evacuated(0, 5, false).evacuate(true, 10, 20, Acknowledged).evacuated(30, 40, true);
     rows.evacuate(false, 50, 60, Unclear).evacuated(70, 80, true).evacuated(90, 100, false);
     rows.holds();
     rows.evacuated(110, 120, true);
-    rows.broken("the evacuation of z1, read at 110 ms");
+    rows.broken("the emptying of z1, read at 110 ms");
 }
 
 #[test]
-fn a_lost_acknowledged_evacuation_is_found() {
+fn a_lost_acknowledged_zone_order_is_found() {
     let mut rows = Rows::default();
     rows.evacuate(true, 10, 20, Acknowledged).evacuated(30, 40, false);
-    rows.broken("the evacuation of z1");
+    rows.broken("the emptying of z1");
 }
 
 #[test]
-fn a_refused_evacuation_has_no_effect() {
+fn a_refused_zone_order_has_no_effect() {
     let mut rows = Rows::default();
     rows.evacuate(true, 10, 20, Invalid).evacuated(30, 40, true);
-    rows.broken("the evacuation of z1");
+    rows.broken("the emptying of z1");
 }
