A denied pre-vote names the denier's own term, so that a candidate catches up

Cause: a denial echoed the term asked for. With one replica left that has the longer log at an earlier term, and one with a shorter log at a later term, the first asked for the same term for ever and the second was never up to date: no leader, after the loss of one of three voters.

Change: a denial carries the responder's term, and a replica that asks before a campaign adopts a later one.

--- a/crates/election/src/replica/voting.rs
+++ b/crates/election/src/replica/voting.rs
@@ -73,13 +73,16 @@
             self.dirty = true;
             self.election_due = now + self.random_election_timeout();
         }
-        let term = if pre_vote { term } else { self.state.term };
+        // A denial names our own term: a candidate that is behind would
+        // otherwise ask for the same term again and again.
+        let term = if pre_vote && granted { term } else { self.state.term };
         let mark = self.state.mark;
         self.send(from, Message::VoteResponse { pre_vote, term, granted, mark });
     }
 
     pub(super) fn on_vote_response(&mut self, from: Daemon, pre_vote: bool, term: Term, granted: bool, mark: Mark, now: Time) {
-        if !pre_vote && term > self.state.term {
+        let denied_before_campaign = pre_vote && !granted && self.role == Role::PreCandidate;
+        if (!pre_vote || denied_before_campaign) && term > self.state.term {
             return self.adopt_term(term, now);
         }
         let wanted = match (pre_vote, self.role) {
--- a/crates/election/tests/election.rs
+++ b/crates/election/tests/election.rs
@@ -149,3 +149,31 @@
     group.carry_out(&follower, actions);
     assert_eq!(group.disks[&follower].last_index(), before);
 }
+
+/// Of the two replicas left, one has the longer log and the other the later
+/// term: the first may win only in a term that it has to be told of.
+#[test]
+fn a_replica_with_the_longer_log_and_an_earlier_term_is_elected() {
+    for seed in 1..50 {
+        let mut group = Group::new(seed);
+        assert!(group.propose(1));
+        group.run(500);
+        let lost = group.leader().unwrap();
+        let left: Vec<Daemon> = (1..=3).map(name).filter(|daemon| *daemon != lost).collect();
+        for number in 1..=3 {
+            group.stop(&name(number));
+        }
+        let ahead = group.disks.get_mut(&left[0]).unwrap();
+        let term = ahead.term;
+        ahead.log.push(Entry { term, command: Command::Apply(2) });
+        let campaigned = group.disks.get_mut(&left[1]).unwrap();
+        campaigned.term = Term(term.0 + 1);
+        campaigned.vote = Some(left[1].clone());
+        for daemon in &left {
+            group.start(daemon, false);
+        }
+        group.run(8_000);
+        assert_eq!(group.leader(), Some(left[0].clone()), "seed {seed}");
+        assert_eq!(group.applied(&left[1]), [1, 2], "seed {seed}");
+    }
+}
