A voter that was replaced and is back counts as a spare under the same leader

Cause: a leader knows the address of a replica outside the voters only from its announcement, and one that hears the leader never announces itself. A replaced voter that came back could so never take a seat while that leader led: the next machine lost was not replaced, and one more loss left no majority.

Change: when a change ends, the leader keeps what the configuration said of the voters that it leaves out.

Test: a_replaced_voter_that_came_back_is_a_spare_for_the_next_loss, 29 seeds; it failed at seed 28 before the change (at the others its announcement came before the leader's first heartbeat).

--- a/crates/election/src/progress.rs
+++ b/crates/election/src/progress.rs
@@ -2,6 +2,7 @@
 use crate::prelude::*;
 
 /// A replica as the leader follows it, voter or learner.
+#[derive(Clone)]
 pub(crate) struct Progress {
     /// The next entry to send.
     pub next: u64,
@@ -15,7 +16,8 @@
     pub needs_snapshot: bool,
     /// It answered since it was last silent: entries may be sent to it.
     pub replicating: bool,
-    /// As it announced itself; `None` for a voter that never had to.
+    /// As it announced itself, or as the configuration named it that it was
+    /// left out of; `None` for a voter that never had to.
     pub announced: Option<Voter>,
     /// When it last said that it is about to stop.
     pub left: Option<Time>,
--- a/crates/election/src/replica/membership.rs
+++ b/crates/election/src/replica/membership.rs
@@ -137,6 +137,7 @@
             return;
         }
         if self.configuration.is_joint() {
+            self.keep_as_spares();
             let voters = self.configuration.voters.clone();
             self.append_entry(Command::Configure(Configuration::of(voters)));
             self.replicate(now);
@@ -145,6 +146,16 @@
         }
     }
 
+    /// Voters that a change leaves out hear this leader and never announce
+    /// themselves: what the configuration says of them is kept instead.
+    fn keep_as_spares(&mut self) {
+        for (daemon, voter) in self.configuration.outgoing.iter().flatten() {
+            if let Some(progress) = self.progress.get_mut(daemon) {
+                progress.announced.get_or_insert_with(|| voter.clone());
+            }
+        }
+    }
+
     /// Whether a replica outside the voters is connected and may stay.
     fn has_spare(&self, now: Time) -> bool {
         let spare = |(daemon, peer): (&Daemon, &Peer)| {
--- a/crates/election/tests/membership.rs
+++ b/crates/election/tests/membership.rs
@@ -240,3 +240,32 @@
     assert_eq!(group.leader(), Some(leader.clone()));
     assert!(group.nodes[&leader].replica.configuration().is_voter(&wiped, mark));
 }
+
+/// A voter is replaced as it stops, and comes back with its disk while the
+/// same leader leads: it is the spare that takes the seat of the next one lost.
+#[test]
+fn a_replaced_voter_that_came_back_is_a_spare_for_the_next_loss() {
+    for seed in 1..30 {
+        let mut group = Group::new(seed);
+        group.start_empty(&name(4), false);
+        group.run(2_000);
+        let leader = group.leader().unwrap();
+        let mut others = (1..=3).map(name).filter(|daemon| *daemon != leader);
+        let (replaced, lost) = (others.next().unwrap(), others.next().unwrap());
+        let now = group.now;
+        let actions = group.nodes.get_mut(&replaced).unwrap().replica.leave(now);
+        group.carry_out(&replaced, actions);
+        group.run(1_000);
+        assert!(!group.voters().contains(&replaced), "seed {seed}");
+        group.stop(&replaced);
+        group.start(&replaced, false);
+        group.run(6_000);
+        group.remove(&lost);
+        // No other replica may keep the zones apart.
+        group.run(12_000);
+        assert!(group.voters().contains(&replaced), "seed {seed}: {:?}", group.voters());
+        group.stop(&leader);
+        group.run(5_000);
+        assert!(group.propose(1), "seed {seed}: one more loss is not borne");
+    }
+}
