A model check of the replica: exhaustive search, random histories, nine faults

Cause: what the replica promises was tested by chosen histories only.

Each of nine deliberate faults is noticed by a broken safety invariant; a leader that only restarts at each change, as two of these do, is sound.

--- a/crates/election/src/replica.rs
+++ b/crates/election/src/replica.rs
@@ -59,6 +59,7 @@
 
 /// Invariants: `applied <= commit <= last index`; `persisted <= issued`; a
 /// message is sent only when everything issued before it is durable.
+#[derive(Clone)]
 pub struct Replica<C> {
     settings: ReplicaSettings,
     random: fastrand::Rng,
--- /dev/null
+++ b/crates/election/tests/explorer/world.rs
@@ -0,0 +1,820 @@
+//! A few replicas, their disks, the messages between them and one clock.
+use super::breakage::{broken_change, cleared_log};
+use super::{Breakage, Kind, Ledger, Step, Violation};
+use dw_election::prelude::{
+    Action, AppendRequest, Command, Configuration, Daemon, Entry, HardState, Mark, MembershipPolicy, Message, Replica,
+    ReplicaSettings, Role, Snapshot, Span, Term, Time, Timing, VecDeque, Voter, Zone,
+};
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+/// Machines are numbered from 1.
+pub type Machine = usize;
+
+/// What a replica notices of the clock in the two clock steps.
+const HEARTBEAT: Span = Span::millis(200);
+const PAST_EVERY_TIMEOUT: Span = Span::millis(1_800);
+/// How far ahead a replica is told the clock is when it forgets its leader.
+const LEADER_FORGOTTEN: Span = Span::secs(10);
+/// Where histories begin: later than any interval of the election.
+const BEGINNING: Time = Time::millis(60_000);
+/// Between two clock events of a quiet run.
+const QUIET_TICK: Span = Span::millis(50);
+/// Messages that may be pending; of more the oldest is lost.
+const PENDING_MESSAGES: usize = 24;
+const ZONES: usize = 3;
+
+/// How often each bounded kind of step may still happen.
+#[derive(Clone, Copy, Debug, Default, Hash)]
+pub struct Budget {
+    pub heartbeats: u8,
+    pub timeouts: u8,
+    pub doubles: u8,
+    pub losses: u8,
+    pub crashes: u8,
+    pub wipes: u8,
+    pub removals: u8,
+    pub isolations: u8,
+    pub proposals: u8,
+    pub compactions: u8,
+    pub leaves: u8,
+}
+
+impl Budget {
+    /// For histories that their length bounds: the highest number is no bound.
+    pub const UNBOUNDED: Budget = Budget {
+        heartbeats: u8::MAX,
+        timeouts: u8::MAX,
+        doubles: u8::MAX,
+        losses: u8::MAX,
+        crashes: u8::MAX,
+        wipes: u8::MAX,
+        removals: u8::MAX,
+        isolations: u8::MAX,
+        proposals: u8::MAX,
+        compactions: u8::MAX,
+        leaves: u8::MAX,
+    };
+
+    fn of(&mut self, kind: Kind) -> Option<&mut u8> {
+        match kind {
+            Kind::Heartbeat => Some(&mut self.heartbeats),
+            Kind::Timeout => Some(&mut self.timeouts),
+            Kind::Double => Some(&mut self.doubles),
+            Kind::Lose => Some(&mut self.losses),
+            Kind::Crash | Kind::CrashAfterWrite => Some(&mut self.crashes),
+            Kind::Wipe => Some(&mut self.wipes),
+            Kind::Remove => Some(&mut self.removals),
+            Kind::Isolate => Some(&mut self.isolations),
+            Kind::Propose => Some(&mut self.proposals),
+            Kind::Compact => Some(&mut self.compactions),
+            Kind::Leave => Some(&mut self.leaves),
+            Kind::Deliver | Kind::Persist | Kind::Restart | Kind::Replace | Kind::Heal => None,
+        }
+    }
+
+    fn allows(mut self, kind: Kind) -> bool {
+        self.of(kind).is_none_or(|left| *left > 0)
+    }
+
+    fn spend(&mut self, kind: Kind) {
+        if let Some(left) = self.of(kind).filter(|left| **left < u8::MAX) {
+            *left = left.saturating_sub(1);
+        }
+    }
+}
+
+/// One machine: its disk, its replica while it runs, and the writes under way.
+#[derive(Clone)]
+pub struct Node {
+    pub replica: Option<Replica<u32>>,
+    pub disk: HardState<u32>,
+    /// The state in memory, as last handed out to be written.
+    pub latest: HardState<u32>,
+    writes: VecDeque<(u64, HardState<u32>)>,
+    pub applied: Vec<(u64, u32)>,
+    pub isolated: bool,
+    /// It was told to leave and has not been restarted since.
+    pub leaving: bool,
+    zone: usize,
+    /// A hash of everything that this machine was ever given. The replica is
+    /// deterministic, so equal inputs are equal states.
+    inputs: u64,
+}
+
+/// A message on its way.
+#[derive(Clone)]
+pub struct Envelope {
+    pub from: Machine,
+    pub to: Machine,
+    pub message: Message<u32>,
+    fingerprint: u64,
+}
+
+/// What is left out, so that a search gets deeper. Each leaves only histories
+/// that could happen.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reductions {
+    /// Every write is durable as soon as it is issued.
+    pub writes_at_once: bool,
+    /// No announcement of a replica that hears no leader arrives.
+    pub joins_are_lost: bool,
+}
+
+/// A state of the whole group. Cloning shares what does not change.
+#[derive(Clone)]
+pub struct World {
+    pub now: Time,
+    pub nodes: BTreeMap<Machine, Arc<Node>>,
+    pub pending: Vec<Arc<Envelope>>,
+    pub ledger: Arc<Ledger>,
+    pub budget: Budget,
+    pub breakage: Option<Breakage>,
+    reductions: Reductions,
+    target_voters: usize,
+    next_machine: Machine,
+    next_mark: u64,
+    next_command: u32,
+    /// The zones of removed machines that nothing has replaced yet.
+    vacant_zones: Vec<usize>,
+    random_seed: u64,
+}
+
+pub fn name(machine: Machine) -> Daemon {
+    Daemon(format!("placement-{machine}"))
+}
+
+fn machine_of(daemon: &Daemon) -> Option<Machine> {
+    daemon.as_str().rsplit('-').next()?.parse().ok()
+}
+
+fn voter(machine: Machine, mark: Mark, zone: usize) -> Voter {
+    Voter { mark, address: format!("{}:7000", name(machine)), zone: Zone(format!("zone-{zone}")) }
+}
+
+fn hash_of(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A hash of the canonical encoding of a value.
+fn hash_of_encoding(value: &impl serde::Serialize) -> u64 {
+    let mut encoding = Vec::new();
+    ciborium::into_writer(value, &mut encoding).expect("it can be encoded");
+    hash_of(encoding)
+}
+
+impl World {
+    /// Three voters that were founded together and run, and spare replicas
+    /// with empty disks.
+    pub fn founded(spares: usize, target_voters: usize, random_seed: u64) -> World {
+        let voters = (1..=3).map(|machine| (name(machine), voter(machine, Mark(machine as u64), machine % ZONES)));
+        let configuration = Configuration::of(voters.collect());
+        let mut world = World {
+            now: BEGINNING,
+            nodes: BTreeMap::new(),
+            pending: Vec::new(),
+            ledger: Arc::new(Ledger::of(configuration.clone())),
+            budget: Budget::UNBOUNDED,
+            breakage: None,
+            reductions: Reductions::default(),
+            target_voters,
+            next_machine: 1,
+            next_mark: 1,
+            next_command: 1,
+            vacant_zones: Vec::new(),
+            random_seed,
+        };
+        for machine in 1..=3 + spares {
+            world.add_machine(machine % ZONES);
+        }
+        for machine in 1..=3 {
+            let mut state = world.nodes[&machine].disk.clone();
+            state.founded = true;
+            state.snapshot.configuration = configuration.clone();
+            world.start_from(machine, state);
+        }
+        world
+    }
+
+    /// The same, with a leader and one committed command.
+    pub fn settled(spares: usize, target_voters: usize, random_seed: u64) -> World {
+        let mut world = World::founded(spares, target_voters, random_seed);
+        world.run_quietly(Span::secs(6)).expect("a quiet group breaks nothing");
+        let leader = world.leader().expect("a quiet group has a leader");
+        world.take(Step::Propose(leader)).expect("a quiet group breaks nothing");
+        world.run_quietly(Span::secs(2)).expect("a quiet group breaks nothing");
+        world.pending.clear();
+        world
+    }
+
+    /// A group whose leader has its lease, and a voter that was cut off until
+    /// it asks for votes; its requests are on their way.
+    pub fn with_impatient_voter(random_seed: u64) -> World {
+        let mut world = World::settled(0, 3, random_seed);
+        let impatient = world.follower();
+        world.node_mut(impatient).isolated = true;
+        world.run_quietly(PAST_EVERY_TIMEOUT).expect("a quiet group breaks nothing");
+        world.node_mut(impatient).isolated = false;
+        world.pending.retain(|envelope| envelope.from == impatient && matches!(envelope.message, Message::VoteRequest { .. }));
+        world
+    }
+
+    /// A follower that was cut off while others went on; the entries that it
+    /// lacks and then a snapshot of them are on their way to it.
+    pub fn with_late_follower(random_seed: u64) -> World {
+        let mut world = World::settled(0, 3, random_seed);
+        let (leader, late) = (world.leader().expect("a settled group has a leader"), world.follower());
+        world.node_mut(late).isolated = true;
+        for _ in 0..2 {
+            world.take(Step::Propose(leader)).expect("a sound step");
+            world.run_quietly(PAST_EVERY_TIMEOUT).expect("a quiet group breaks nothing");
+        }
+        world.pending.clear();
+        world.node_mut(late).isolated = false;
+        while !world.pending.iter().any(|envelope| carries_entries(envelope, late)) {
+            let between = |envelope: &Arc<Envelope>| [envelope.from, envelope.to].iter().all(|end| [leader, late].contains(end));
+            let step = world.pending.iter().position(between).map_or(Step::Heartbeat(leader), Step::Deliver);
+            world.take(step).expect("a sound step");
+        }
+        for step in [Step::Compact(leader), Step::Persist(leader), Step::Heartbeat(leader)] {
+            world.take(step).expect("a sound step");
+        }
+        world.pending.retain(|envelope| envelope.to == late);
+        world
+    }
+
+    /// Two leaders of different terms crashed with an entry that only they
+    /// hold; the third voter has neither.
+    pub fn with_two_old_leaders(random_seed: u64) -> World {
+        let settled = World::settled(0, 3, random_seed);
+        let term = settled.latest_term().0;
+        settled.restarted_from(|machine, state| {
+            state.term = Term(term + 2);
+            match machine {
+                1 => state.log.push(Entry { term: Term(term + 1), command: Command::Noop }),
+                2 => state.log.push(Entry { term: Term(term + 2), command: Command::Noop }),
+                _ => {}
+            }
+            state.vote = (machine != 1).then(|| name(2));
+        })
+    }
+
+    /// The same, after the first of them was elected again and the third voter
+    /// took over its old entry; the second has heard of the new term only.
+    pub fn with_a_replicated_earlier_term(random_seed: u64, breakage: Breakage) -> World {
+        let mut world = World::with_two_old_leaders(random_seed).with_breakage(Some(breakage));
+        world.reductions.writes_at_once = true;
+        let old_entry = world.nodes[&1].latest.last_index();
+        world.take(Step::Timeout(1)).expect("a sound step");
+        while world.nodes[&3].latest.last_index() < old_entry {
+            let passes = |envelope: &Arc<Envelope>| envelope.to != 2 || !matches!(envelope.message, Message::Append(_));
+            let step = world.pending.iter().position(passes).map_or(Step::Heartbeat(1), Step::Deliver);
+            world.take(step).expect("a sound step");
+        }
+        world.pending.retain(|envelope| envelope.to == 1);
+        world
+    }
+
+    /// A group that is to grow from three to five, where as yet only the
+    /// leader, which restarted, has the change in its log.
+    pub fn with_a_change_begun(random_seed: u64, breakage: Breakage) -> World {
+        let mut world = World::founded(2, 5, random_seed).with_breakage(Some(breakage));
+        let begun = |node: &Arc<Node>| node.latest.configuration_at(node.latest.last_index()).1.names().len() > 3;
+        while !world.nodes.values().any(begun) {
+            world.run_quietly(QUIET_TICK).expect("a quiet group breaks nothing");
+        }
+        world.pending.clear();
+        world
+    }
+
+    fn follower(&self) -> Machine {
+        let leader = self.leader();
+        *self.nodes.keys().find(|machine| Some(**machine) != leader).expect("more than one machine")
+    }
+
+    pub fn with_budget(mut self, budget: Budget) -> World {
+        self.budget = budget;
+        self
+    }
+
+    pub fn with_breakage(mut self, breakage: Option<Breakage>) -> World {
+        self.breakage = breakage;
+        self
+    }
+
+    pub fn with_reductions(mut self, reductions: Reductions) -> World {
+        self.reductions = reductions;
+        self
+    }
+
+    /// Puts these states on the disks of the founding machines and restarts
+    /// them: a situation that a history of crashes leads to.
+    pub fn restarted_from(mut self, change: impl Fn(Machine, &mut HardState<u32>)) -> World {
+        for machine in 1..=3 {
+            let mut state = self.nodes[&machine].disk.clone();
+            change(machine, &mut state);
+            self.start_from(machine, state);
+        }
+        self
+    }
+
+    fn add_machine(&mut self, zone: usize) -> Machine {
+        let machine = self.next_machine;
+        self.next_machine += 1;
+        let disk = self.fresh_disk();
+        let node = Node {
+            replica: None,
+            latest: disk.clone(),
+            disk,
+            writes: VecDeque::new(),
+            applied: Vec::new(),
+            isolated: false,
+            leaving: false,
+            zone,
+            inputs: 0,
+        };
+        self.nodes.insert(machine, Arc::new(node));
+        self.start(machine);
+        machine
+    }
+
+    fn fresh_disk(&mut self) -> HardState<u32> {
+        let mark = Mark(self.next_mark);
+        self.next_mark += 1;
+        HardState::fresh(mark)
+    }
+
+    fn node_mut(&mut self, machine: Machine) -> &mut Node {
+        Arc::make_mut(self.nodes.get_mut(&machine).expect("a machine of this world"))
+    }
+
+    fn start_from(&mut self, machine: Machine, state: HardState<u32>) {
+        Arc::make_mut(&mut self.ledger).on_durable(&state).expect("a state to start from is sound");
+        self.node_mut(machine).disk = state;
+        self.start(machine);
+    }
+
+    fn start(&mut self, machine: Machine) {
+        let (now, settings) = (self.now, self.settings(machine));
+        let forgets_vote = self.breakage == Some(Breakage::ForgetsVote);
+        let node = self.node_mut(machine);
+        let mut state = node.disk.clone();
+        if forgets_vote {
+            state.vote = None;
+        }
+        node.latest = state.clone();
+        node.writes.clear();
+        node.applied = ciborium::from_reader(state.snapshot.data.as_ref()).unwrap_or_default();
+        node.inputs = hash_of((node.inputs, "start", now, hash_of_encoding(&state)));
+        node.replica = Some(Replica::new(settings, state, now));
+    }
+
+    fn settings(&self, machine: Machine) -> ReplicaSettings {
+        let node = &self.nodes[&machine];
+        let voter = voter(machine, node.disk.mark, node.zone);
+        ReplicaSettings {
+            id: name(machine),
+            address: voter.address,
+            zone: voter.zone,
+            seeds: self.nodes.keys().copied().map(name).collect(),
+            bootstrap: false,
+            timing: Timing { entries_before_snapshot: 2, ..Timing::default() },
+            policy: MembershipPolicy { target_voters: self.target_voters, ..MembershipPolicy::default() },
+            random_seed: hash_of((self.random_seed, machine, self.now)),
+        }
+    }
+
+    /// The replica that may act, if there is one.
+    pub fn leader(&self) -> Option<Machine> {
+        self.acting().into_iter().next()
+    }
+
+    fn acting(&self) -> Vec<Machine> {
+        let may_act = |node: &Node| node.replica.as_ref().is_some_and(|replica| replica.may_act(self.now));
+        self.nodes.iter().filter(|(_, node)| may_act(node)).map(|(machine, _)| *machine).collect()
+    }
+
+    /// Whether the group has recovered from everything before, so that it has
+    /// to bear the loss of another disk: every voter of the one configuration
+    /// runs and durably holds all that is committed.
+    pub fn may_lose_a_disk(&self) -> bool {
+        let configuration = &self.ledger.configuration;
+        let recovered = |(daemon, voter): (&Daemon, &Voter)| {
+            let node = machine_of(daemon).and_then(|machine| self.nodes.get(&machine));
+            node.is_some_and(|node| {
+                let in_force = node.disk.configuration_at(node.disk.last_index()).1;
+                let settled = node.replica.is_some() && node.writes.is_empty() && node.disk.mark == voter.mark;
+                settled && in_force == configuration && self.ledger.first_missing(&node.disk).is_none()
+            })
+        };
+        !configuration.is_joint() && configuration.voters.iter().all(recovered)
+    }
+
+    /// Every step that is possible now.
+    pub fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for (place, envelope) in self.pending.iter().enumerate() {
+            if self.connected(envelope) {
+                steps.push(Step::Deliver(place));
+            }
+            steps.extend([Step::Lose(place), Step::Double(place)]);
+        }
+        let may_lose = self.may_lose_a_disk();
+        for (machine, node) in &self.nodes {
+            self.add_machine_steps(*machine, node, may_lose, &mut steps);
+        }
+        if !self.vacant_zones.is_empty() {
+            steps.push(Step::Replace);
+        }
+        steps.retain(|step| self.budget.allows(step.kind()));
+        steps
+    }
+
+    fn add_machine_steps(&self, machine: Machine, node: &Node, may_lose: bool, steps: &mut Vec<Step>) {
+        let Some(replica) = &node.replica else {
+            steps.push(Step::Restart(machine));
+            return;
+        };
+        if !node.writes.is_empty() {
+            steps.extend([Step::Persist(machine), Step::CrashAfterWrite(machine)]);
+        }
+        steps.extend([Step::Heartbeat(machine), Step::Timeout(machine), Step::Crash(machine), Step::Leave(machine)]);
+        steps.push(if node.isolated { Step::Heal(machine) } else { Step::Isolate(machine) });
+        if may_lose {
+            steps.extend([Step::Wipe(machine), Step::Remove(machine)]);
+        }
+        if replica.may_act(self.now) {
+            steps.push(Step::Propose(machine));
+        }
+        if node.applied.len() >= 2 {
+            steps.push(Step::Compact(machine));
+        }
+    }
+
+    fn connected(&self, envelope: &Envelope) -> bool {
+        let reachable = |machine: Machine| self.nodes.get(&machine).is_none_or(|node| !node.isolated);
+        let runs = self.nodes.get(&envelope.to).is_some_and(|node| node.replica.is_some());
+        runs && reachable(envelope.to) && reachable(envelope.from)
+    }
+
+    /// Takes one step and checks the invariants.
+    pub fn take(&mut self, step: Step) -> Result<(), Violation> {
+        self.budget.spend(step.kind());
+        match step {
+            Step::Deliver(place) => {
+                let envelope = self.pending.remove(place);
+                self.deliver(&envelope)?;
+            }
+            Step::Lose(place) => drop(self.pending.remove(place)),
+            Step::Double(place) => self.pending.push(self.pending[place].clone()),
+            Step::Persist(machine) => self.persist(machine)?,
+            Step::Heartbeat(machine) => self.tick(machine, HEARTBEAT)?,
+            Step::Timeout(machine) => self.tick(machine, PAST_EVERY_TIMEOUT)?,
+            Step::Crash(machine) => self.crash(machine),
+            Step::CrashAfterWrite(machine) => {
+                self.write(machine)?;
+                self.crash(machine);
+            }
+            Step::Restart(machine) => self.start(machine),
+            Step::Wipe(machine) => self.wipe(machine),
+            Step::Remove(machine) => self.remove(machine),
+            Step::Replace => {
+                let zone = self.vacant_zones.pop().expect("a machine was removed");
+                self.add_machine(zone);
+            }
+            Step::Isolate(machine) => self.node_mut(machine).isolated = true,
+            Step::Heal(machine) => self.node_mut(machine).isolated = false,
+            Step::Propose(machine) => self.propose(machine)?,
+            Step::Compact(machine) => {
+                let applied = self.nodes[&machine].applied.clone();
+                self.give(machine, hash_of(("compact", self.now)), |replica, _| replica.compact(|| encode(&applied)))?;
+            }
+            Step::Leave(machine) => {
+                self.node_mut(machine).leaving = true;
+                self.give(machine, hash_of(("leave", self.now)), |replica, now| replica.leave(now))?;
+            }
+        }
+        match self.acting() {
+            machines if machines.len() > 1 => Err(Violation::TwoReplicasMayAct { machines }),
+            _ => Ok(()),
+        }
+    }
+
+    fn tick(&mut self, machine: Machine, passed: Span) -> Result<(), Violation> {
+        self.now += passed;
+        self.give(machine, hash_of(("tick", self.now)), |replica, now| replica.tick(now))
+    }
+
+    fn propose(&mut self, machine: Machine) -> Result<(), Violation> {
+        let command = self.next_command;
+        self.next_command += 1;
+        self.give(machine, hash_of(("propose", command, self.now)), |replica, now| {
+            replica.propose(command, now).map(|(_, _, actions)| actions).unwrap_or_default()
+        })
+    }
+
+    fn crash(&mut self, machine: Machine) {
+        let node = self.node_mut(machine);
+        node.replica = None;
+        node.leaving = false;
+        node.writes.clear();
+        node.latest = node.disk.clone();
+    }
+
+    fn wipe(&mut self, machine: Machine) {
+        self.crash(machine);
+        let lost = self.nodes[&machine].disk.mark;
+        Arc::make_mut(&mut self.ledger).lost_marks.insert(lost);
+        let mut disk = self.fresh_disk();
+        if self.breakage == Some(Breakage::KeepsMarkWhenWiped) {
+            disk.mark = lost;
+        }
+        self.node_mut(machine).disk = disk;
+        self.start(machine);
+    }
+
+    fn remove(&mut self, machine: Machine) {
+        if let Some(node) = self.nodes.remove(&machine) {
+            self.vacant_zones.push(node.zone);
+            Arc::make_mut(&mut self.ledger).lost_marks.insert(node.disk.mark);
+        }
+    }
+
+    fn deliver(&mut self, envelope: &Envelope) -> Result<(), Violation> {
+        let machine = envelope.to;
+        let message = self.altered_at_delivery(envelope);
+        let ahead = match (&message, self.breakage) {
+            (Message::VoteRequest { .. }, Some(Breakage::VotesThoughLeaderHeard)) => LEADER_FORGOTTEN,
+            _ => Span::ZERO,
+        };
+        let input = hash_of((envelope.fingerprint, self.now));
+        let installed = self.nodes[&machine].latest.snapshot.index;
+        let request = match &message {
+            Message::Append(request) if request.snapshot.is_some() => Some(request.clone()),
+            _ => None,
+        };
+        self.give(machine, input, |replica, now| replica.receive(name(envelope.from), message, now + ahead))?;
+        match request {
+            Some(request) if self.nodes[&machine].latest.snapshot.index > installed => self.clear_log(machine, &request),
+            _ => Ok(()),
+        }
+    }
+
+    /// The earlier rule for snapshots: the log is emptied, and what the
+    /// replica has answered stands.
+    fn clear_log(&mut self, machine: Machine, request: &AppendRequest<u32>) -> Result<(), Violation> {
+        if self.breakage != Some(Breakage::ClearsLogOnSnapshot) {
+            return Ok(());
+        }
+        self.persist(machine)?;
+        let state = cleared_log(&self.nodes[&machine].latest, request);
+        self.replace_state(machine, state)
+    }
+
+    /// Restarts a replica with a state that it would not have come to itself.
+    fn replace_state(&mut self, machine: Machine, state: HardState<u32>) -> Result<(), Violation> {
+        let ledger = Arc::make_mut(&mut self.ledger);
+        ledger.on_state(&state)?;
+        ledger.on_durable(&state)?;
+        self.node_mut(machine).disk = state;
+        self.start(machine);
+        Ok(())
+    }
+
+    fn altered_at_delivery(&self, envelope: &Envelope) -> Message<u32> {
+        let mut message = envelope.message.clone();
+        if self.breakage != Some(Breakage::CountsAnyMark) {
+            return message;
+        }
+        let receiver = &self.nodes[&envelope.to].latest;
+        let configuration = receiver.configuration_at(receiver.last_index()).1;
+        let named = configuration.voters.get(&name(envelope.from)).map(|voter| voter.mark);
+        if let (Message::VoteResponse { mark, .. } | Message::AppendResponse { mark, .. }, Some(named)) = (&mut message, named) {
+            *mark = named;
+        }
+        message
+    }
+
+    /// Sends entries one by one, and the news of what a quorum holds, whatever
+    /// its term, in a message of its own.
+    fn send_earlier_commit(&mut self, from: Machine, to: Machine, request: &mut AppendRequest<u32>) {
+        request.entries.truncate(1);
+        let state = &self.nodes[&from].latest;
+        let counted = (1..=state.last_index()).rev().find(|index| self.ledger.counted(*index, state)).unwrap_or(0);
+        if counted > request.commit && request.snapshot.is_none() {
+            let news = AppendRequest { commit: counted, entries: Vec::new(), ..request.clone() };
+            self.post(from, to, Message::Append(news));
+        }
+    }
+
+    /// Makes the writes under way durable without telling the replica.
+    fn write(&mut self, machine: Machine) -> Result<u64, Violation> {
+        let node = self.node_mut(machine);
+        let Some((number, state)) = node.writes.pop_back() else { return Ok(0) };
+        let states: Vec<HardState<u32>> = node.writes.drain(..).map(|write| write.1).chain([state.clone()]).collect();
+        node.disk = state;
+        let ledger = Arc::make_mut(&mut self.ledger);
+        for state in &states {
+            ledger.on_durable(state)?;
+        }
+        Ok(number)
+    }
+
+    fn persist(&mut self, machine: Machine) -> Result<(), Violation> {
+        let number = self.write(machine)?;
+        if number == 0 {
+            return Ok(());
+        }
+        self.give(machine, hash_of(("persisted", number, self.now)), |replica, now| replica.persisted(number, now))
+    }
+
+    /// Gives a replica one input and carries out what it asks for.
+    fn give(
+        &mut self,
+        machine: Machine,
+        input: u64,
+        call: impl FnOnce(&mut Replica<u32>, Time) -> Vec<Action<u32>>,
+    ) -> Result<(), Violation> {
+        let now = self.now;
+        let node = self.node_mut(machine);
+        let Some(replica) = &mut node.replica else { return Ok(()) };
+        node.inputs = hash_of((node.inputs, input));
+        let (commit, configuration) = (replica.commit(), replica.configuration().clone());
+        let actions = call(replica, now);
+        let (committed, leads) = (replica.commit(), replica.role() == Role::Leader);
+        let persisted = self.take_states(machine, &actions)?;
+        if committed > commit {
+            self.check_commit(machine, committed, leads.then_some(&configuration))?;
+        }
+        for action in actions {
+            self.carry_out(machine, action)?;
+        }
+        self.after_persist(machine, persisted)
+    }
+
+    /// Queues the writes among `actions`; returns the number of the last.
+    fn take_states(&mut self, machine: Machine, actions: &[Action<u32>]) -> Result<Option<u64>, Violation> {
+        let mut last = None;
+        for action in actions {
+            let Action::Persist(number, state) = action else { continue };
+            self.ledger.on_state(state)?;
+            let node = self.node_mut(machine);
+            node.latest = state.clone();
+            node.writes.push_back((*number, state.clone()));
+            last = Some(*number);
+        }
+        Ok(last)
+    }
+
+    fn check_commit(&mut self, machine: Machine, index: u64, led_by: Option<&Configuration>) -> Result<(), Violation> {
+        let state = self.nodes[&machine].latest.clone();
+        let ledger = Arc::make_mut(&mut self.ledger);
+        if let Some(configuration) = led_by {
+            ledger.on_leader_commit(machine, index, &state, configuration)?;
+        }
+        ledger.on_commit(machine, index, &state)
+    }
+
+    fn carry_out(&mut self, machine: Machine, action: Action<u32>) -> Result<(), Violation> {
+        match action {
+            Action::Send(to, message) => self.send(machine, &to, message),
+            Action::Apply(index, term, command) => {
+                let entry = Entry { term, command: Command::Apply(command) };
+                if self.ledger.committed.get(&index) != Some(&entry) {
+                    return Err(Violation::CommittedEntriesDiffer { index, machine });
+                }
+                self.node_mut(machine).applied.push((index, command));
+            }
+            Action::InstallSnapshot(snapshot) => self.install(machine, &snapshot)?,
+            Action::BecameLeader(term) => {
+                let state = self.nodes[&machine].latest.clone();
+                Arc::make_mut(&mut self.ledger).on_leader(machine, term, &name(machine), &state)?;
+            }
+            Action::Persist(..) | Action::Reconfigured(_) | Action::Learn(..) | Action::LostLeadership => {}
+        }
+        Ok(())
+    }
+
+    fn install(&mut self, machine: Machine, snapshot: &Snapshot) -> Result<(), Violation> {
+        self.ledger.on_snapshot(machine, snapshot)?;
+        self.node_mut(machine).applied = ciborium::from_reader(snapshot.data.as_ref()).unwrap_or_default();
+        Ok(())
+    }
+
+    fn after_persist(&mut self, machine: Machine, persisted: Option<u64>) -> Result<(), Violation> {
+        let Some(number) = persisted else { return Ok(()) };
+        let node = &self.nodes[&machine];
+        let leads = node.replica.as_ref().is_some_and(|replica| replica.role() == Role::Leader);
+        if let Some(state) = broken_change(self.breakage, &node.latest).filter(|_| leads) {
+            return self.replace_state(machine, state);
+        }
+        if self.reductions.writes_at_once {
+            return self.persist(machine);
+        }
+        if self.breakage == Some(Breakage::AnswersBeforeDurable) {
+            return self.give(machine, hash_of(("too early", number)), |replica, now| replica.persisted(number, now));
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, from: Machine, to: &Daemon, mut message: Message<u32>) {
+        let Some(to) = machine_of(to).filter(|to| self.nodes.contains_key(to)) else { return };
+        if self.reductions.joins_are_lost && matches!(message, Message::Join { .. }) {
+            return;
+        }
+        if let (Message::Append(request), Some(Breakage::CommitsEarlierTerms)) = (&mut message, self.breakage) {
+            self.send_earlier_commit(from, to, request);
+        }
+        self.post(from, to, message);
+    }
+
+    fn post(&mut self, from: Machine, to: Machine, message: Message<u32>) {
+        let fingerprint = hash_of((from, to, hash_of_encoding(&message)));
+        self.pending.push(Arc::new(Envelope { from, to, message, fingerprint }));
+        if self.pending.len() > PENDING_MESSAGES {
+            self.pending.remove(0);
+        }
+    }
+
+    /// Lets `span` pass with every write and message done at once.
+    pub fn run_quietly(&mut self, span: Span) -> Result<(), Violation> {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += QUIET_TICK;
+            let machines: Vec<Machine> = self.nodes.keys().copied().collect();
+            for machine in machines {
+                self.tick(machine, Span::ZERO)?;
+                self.drain()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn drain(&mut self) -> Result<(), Violation> {
+        loop {
+            let next = self.steps().into_iter().find(|step| matches!(step, Step::Deliver(_) | Step::Persist(_)));
+            let Some(step) = next else { return Ok(()) };
+            self.take(step)?;
+        }
+    }
+
+    /// A hash by which equal worlds are known. The order of pending messages
+    /// does not count, as any may be next.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.now, self.budget, &self.vacant_zones).hash(&mut hasher);
+        for (machine, node) in &self.nodes {
+            (machine, node.inputs, node.isolated, node.replica.is_some(), node.writes.len()).hash(&mut hasher);
+            (node.disk.term, node.disk.last_index()).hash(&mut hasher);
+        }
+        let mut pending: Vec<u64> = self.pending.iter().map(|envelope| envelope.fingerprint).collect();
+        pending.sort_unstable();
+        pending.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Each machine and its replica, a line each.
+    pub fn describe(&self) -> String {
+        let line = |(machine, node): (&Machine, &Arc<Node>)| {
+            let replica = node.replica.as_ref();
+            let (role, commit) = (replica.map(Replica::role), replica.map_or(0, Replica::commit));
+            let configuration = replica.map(|replica| replica.configuration().clone()).unwrap_or_default();
+            let named = |voters: &BTreeMap<Daemon, Voter>| -> Vec<String> {
+                voters.iter().map(|(daemon, voter)| format!("{daemon}/{}", voter.mark.0)).collect()
+            };
+            format!(
+                "{machine}/{}: {role:?} {:?} vote {:?} last {}@{:?} snapshot {} commit {commit} voters {:?} outgoing {:?} leader {:?} acts {:?}\n",
+                node.disk.mark.0,
+                node.latest.term,
+                node.latest.vote,
+                node.latest.last_index(),
+                node.latest.last_term(),
+                node.latest.snapshot.index,
+                named(&configuration.voters),
+                configuration.outgoing.as_ref().map(named),
+                replica.and_then(|replica| replica.leader(self.now)),
+                replica.map(|replica| replica.may_act(self.now)),
+            )
+        };
+        let lines: String = self.nodes.iter().map(line).collect();
+        format!("at {:?}, {} pending\n{lines}", self.now, self.pending.len())
+    }
+
+    /// The latest term that any replica knows of.
+    pub fn latest_term(&self) -> Term {
+        self.nodes.values().map(|node| node.latest.term).max().unwrap_or_default()
+    }
+}
+
+fn carries_entries(envelope: &Envelope, to: Machine) -> bool {
+    envelope.to == to && matches!(&envelope.message, Message::Append(request) if !request.entries.is_empty())
+}
+
+fn encode(applied: &[(u64, u32)]) -> Vec<u8> {
+    let mut encoding = Vec::new();
+    ciborium::into_writer(applied, &mut encoding).expect("it can be encoded");
+    encoding
+}
