A run that ended well is not taken for its call-back when its route is dropped

Cause: a new keeper keeps the success of an earlier keeper's run back until no other run can be under way. When the route was dropped meanwhile, end_dropped ended the message as expired and owed a call-back; the success kept back was then taken for that of the call-back, which was never made.

The delivery had read the worker's answer, and told the new keeper eleven times before the message was ended.

--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -347,7 +347,9 @@
                 let route = rules.routes.get(name);
                 for (_, seq) in due.iter() {
                     let Some(r) = own.lane.ids.get(&seq).and_then(|id| p.recs.get(id)) else { continue };
-                    if route.is_none_or(|x| now.since(r.taken) > x.worth) && !own.lane.rests(seq, own.quiet, now) {
+                    // One whose success is kept back did not expire.
+                    let open = !own.won.contains(&seq) && !own.lane.rests(seq, own.quiet, now);
+                    if route.is_none_or(|x| now.since(r.taken) > x.worth) && open {
                         gone.push((place.clone(), r.head.id.clone(), ended(r, Outcome::Expired)));
                     }
                 }
