--- a/crates/sim/tests/control.rs
+++ b/crates/sim/tests/control.rs
@@ -129,3 +129,12 @@
     let refused = parse("name x\nat 1s add proxy-4").unwrap_err();
     assert_eq!((refused.line, refused.why.as_str()), (2, "'proxy-4' can't be added; a placement daemon, store or delivery can"));
 }
+
+/// Each of these seeds of the sweep broke a rule once.
+#[test]
+fn seeds_that_the_sweep_found_hold() {
+    let kept = [198].map(|seed| (fleet_schedule(seed, Machines::Kept), seed));
+    let replaced = [123, 165].map(|seed| (fleet_schedule(seed, Machines::Replaced), seed));
+    let bad = all(kept.into_iter().chain(replaced).collect());
+    assert!(bad.is_empty(), "{bad:#?}");
+}
