The model's world in modules by duty, and the counts of its deeper form

Cause: world.rs held budgets, prepared starts, the host and the faults in one file of 820 lines; the deeper form's counts were not written down.

Change: world/{budget,starts,host,faults}.rs, moved as they were; the counts in docs/measurements/2026-12-02-model.md.

--- a/crates/election/tests/explorer/world.rs
+++ b/crates/election/tests/explorer/world.rs
@@ -1,4 +1,11 @@
 //! A few replicas, their disks, the messages between them and one clock.
+mod budget;
+mod faults;
+mod host;
+mod starts;
+
+pub use budget::{Budget, Reductions};
+
 use super::breakage::{broken_change, cleared_log};
 use super::{Breakage, Kind, Ledger, Step, Violation};
 use dw_election::prelude::{
@@ -25,66 +32,6 @@
 const PENDING_MESSAGES: usize = 24;
 const ZONES: usize = 3;
 
-/// How often each bounded kind of step may still happen.
-#[derive(Clone, Copy, Debug, Default, Hash)]
-pub struct Budget {
-    pub heartbeats: u8,
-    pub timeouts: u8,
-    pub doubles: u8,
-    pub losses: u8,
-    pub crashes: u8,
-    pub wipes: u8,
-    pub removals: u8,
-    pub isolations: u8,
-    pub proposals: u8,
-    pub compactions: u8,
-    pub leaves: u8,
-}
-
-impl Budget {
-    /// For histories that their length bounds: the highest number is no bound.
-    pub const UNBOUNDED: Budget = Budget {
-        heartbeats: u8::MAX,
-        timeouts: u8::MAX,
-        doubles: u8::MAX,
-        losses: u8::MAX,
-        crashes: u8::MAX,
-        wipes: u8::MAX,
-        removals: u8::MAX,
-        isolations: u8::MAX,
-        proposals: u8::MAX,
-        compactions: u8::MAX,
-        leaves: u8::MAX,
-    };
-
-    fn of(&mut self, kind: Kind) -> Option<&mut u8> {
-        match kind {
-            Kind::Heartbeat => Some(&mut self.heartbeats),
-            Kind::Timeout => Some(&mut self.timeouts),
-            Kind::Double => Some(&mut self.doubles),
-            Kind::Lose => Some(&mut self.losses),
-            Kind::Crash | Kind::CrashAfterWrite => Some(&mut self.crashes),
-            Kind::Wipe => Some(&mut self.wipes),
-            Kind::Remove => Some(&mut self.removals),
-            Kind::Isolate => Some(&mut self.isolations),
-            Kind::Propose => Some(&mut self.proposals),
-            Kind::Compact => Some(&mut self.compactions),
-            Kind::Leave => Some(&mut self.leaves),
-            Kind::Deliver | Kind::Persist | Kind::Restart | Kind::Replace | Kind::Heal => None,
-        }
-    }
-
-    fn allows(mut self, kind: Kind) -> bool {
-        self.of(kind).is_none_or(|left| *left > 0)
-    }
-
-    fn spend(&mut self, kind: Kind) {
-        if let Some(left) = self.of(kind).filter(|left| **left < u8::MAX) {
-            *left = left.saturating_sub(1);
-        }
-    }
-}
-
 /// One machine: its disk, its replica while it runs, and the writes under way.
 #[derive(Clone)]
 pub struct Node {
@@ -112,16 +59,6 @@
     fingerprint: u64,
 }
 
-/// What is left out, so that a search gets deeper. Each leaves only histories
-/// that could happen.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Reductions {
-    /// Every write is durable as soon as it is issued.
-    pub writes_at_once: bool,
-    /// No announcement of a replica that hears no leader arrives.
-    pub joins_are_lost: bool,
-}
-
 /// A state of the whole group. Cloning shares what does not change.
 #[derive(Clone)]
 pub struct World {
@@ -210,91 +147,6 @@
         world
     }
 
-    /// A group whose leader has its lease, and a voter that was cut off until
-    /// it asks for votes; its requests are on their way.
-    pub fn with_impatient_voter(random_seed: u64) -> World {
-        let mut world = World::settled(0, 3, random_seed);
-        let impatient = world.follower();
-        world.node_mut(impatient).isolated = true;
-        world.run_quietly(PAST_EVERY_TIMEOUT).expect("a quiet group breaks nothing");
-        world.node_mut(impatient).isolated = false;
-        world.pending.retain(|envelope| envelope.from == impatient && matches!(envelope.message, Message::VoteRequest { .. }));
-        world
-    }
-
-    /// A follower that was cut off while others went on; the entries that it
-    /// lacks and then a snapshot of them are on their way to it.
-    pub fn with_late_follower(random_seed: u64) -> World {
-        let mut world = World::settled(0, 3, random_seed);
-        let (leader, late) = (world.leader().expect("a settled group has a leader"), world.follower());
-        world.node_mut(late).isolated = true;
-        for _ in 0..2 {
-            world.take(Step::Propose(leader)).expect("a sound step");
-            world.run_quietly(PAST_EVERY_TIMEOUT).expect("a quiet group breaks nothing");
-        }
-        world.pending.clear();
-        world.node_mut(late).isolated = false;
-        while !world.pending.iter().any(|envelope| carries_entries(envelope, late)) {
-            let between = |envelope: &Arc<Envelope>| [envelope.from, envelope.to].iter().all(|end| [leader, late].contains(end));
-            let step = world.pending.iter().position(between).map_or(Step::Heartbeat(leader), Step::Deliver);
-            world.take(step).expect("a sound step");
-        }
-        for step in [Step::Compact(leader), Step::Persist(leader), Step::Heartbeat(leader)] {
-            world.take(step).expect("a sound step");
-        }
-        world.pending.retain(|envelope| envelope.to == late);
-        world
-    }
-
-    /// Two leaders of different terms crashed with an entry that only they
-    /// hold; the third voter has neither.
-    pub fn with_two_old_leaders(random_seed: u64) -> World {
-        let settled = World::settled(0, 3, random_seed);
-        let term = settled.latest_term().0;
-        settled.restarted_from(|machine, state| {
-            state.term = Term(term + 2);
-            match machine {
-                1 => state.log.push(Entry { term: Term(term + 1), command: Command::Noop }),
-                2 => state.log.push(Entry { term: Term(term + 2), command: Command::Noop }),
-                _ => {}
-            }
-            state.vote = (machine != 1).then(|| name(2));
-        })
-    }
-
-    /// The same, after the first of them was elected again and the third voter
-    /// took over its old entry; the second has heard of the new term only.
-    pub fn with_a_replicated_earlier_term(random_seed: u64, breakage: Breakage) -> World {
-        let mut world = World::with_two_old_leaders(random_seed).with_breakage(Some(breakage));
-        world.reductions.writes_at_once = true;
-        let old_entry = world.nodes[&1].latest.last_index();
-        world.take(Step::Timeout(1)).expect("a sound step");
-        while world.nodes[&3].latest.last_index() < old_entry {
-            let passes = |envelope: &Arc<Envelope>| envelope.to != 2 || !matches!(envelope.message, Message::Append(_));
-            let step = world.pending.iter().position(passes).map_or(Step::Heartbeat(1), Step::Deliver);
-            world.take(step).expect("a sound step");
-        }
-        world.pending.retain(|envelope| envelope.to == 1);
-        world
-    }
-
-    /// A group that is to grow from three to five, where as yet only the
-    /// leader, which restarted, has the change in its log.
-    pub fn with_a_change_begun(random_seed: u64, breakage: Breakage) -> World {
-        let mut world = World::founded(2, 5, random_seed).with_breakage(Some(breakage));
-        let begun = |node: &Arc<Node>| node.latest.configuration_at(node.latest.last_index()).1.names().len() > 3;
-        while !world.nodes.values().any(begun) {
-            world.run_quietly(QUIET_TICK).expect("a quiet group breaks nothing");
-        }
-        world.pending.clear();
-        world
-    }
-
-    fn follower(&self) -> Machine {
-        let leader = self.leader();
-        *self.nodes.keys().find(|machine| Some(**machine) != leader).expect("more than one machine")
-    }
-
     pub fn with_budget(mut self, budget: Budget) -> World {
         self.budget = budget;
         self
@@ -563,53 +415,6 @@
         }
     }
 
-    /// The earlier rule for snapshots: the log is emptied, and what the
-    /// replica has answered stands.
-    fn clear_log(&mut self, machine: Machine, request: &AppendRequest<u32>) -> Result<(), Violation> {
-        if self.breakage != Some(Breakage::ClearsLogOnSnapshot) {
-            return Ok(());
-        }
-        self.persist(machine)?;
-        let state = cleared_log(&self.nodes[&machine].latest, request);
-        self.replace_state(machine, state)
-    }
-
-    /// Restarts a replica with a state that it would not have come to itself.
-    fn replace_state(&mut self, machine: Machine, state: HardState<u32>) -> Result<(), Violation> {
-        let ledger = Arc::make_mut(&mut self.ledger);
-        ledger.on_state(&state)?;
-        ledger.on_durable(&state)?;
-        self.node_mut(machine).disk = state;
-        self.start(machine);
-        Ok(())
-    }
-
-    fn altered_at_delivery(&self, envelope: &Envelope) -> Message<u32> {
-        let mut message = envelope.message.clone();
-        if self.breakage != Some(Breakage::CountsAnyMark) {
-            return message;
-        }
-        let receiver = &self.nodes[&envelope.to].latest;
-        let configuration = receiver.configuration_at(receiver.last_index()).1;
-        let named = configuration.voters.get(&name(envelope.from)).map(|voter| voter.mark);
-        if let (Message::VoteResponse { mark, .. } | Message::AppendResponse { mark, .. }, Some(named)) = (&mut message, named) {
-            *mark = named;
-        }
-        message
-    }
-
-    /// Sends entries one by one, and the news of what a quorum holds, whatever
-    /// its term, in a message of its own.
-    fn send_earlier_commit(&mut self, from: Machine, to: Machine, request: &mut AppendRequest<u32>) {
-        request.entries.truncate(1);
-        let state = &self.nodes[&from].latest;
-        let counted = (1..=state.last_index()).rev().find(|index| self.ledger.counted(*index, state)).unwrap_or(0);
-        if counted > request.commit && request.snapshot.is_none() {
-            let news = AppendRequest { commit: counted, entries: Vec::new(), ..request.clone() };
-            self.post(from, to, Message::Append(news));
-        }
-    }
-
     /// Makes the writes under way durable without telling the replica.
     fn write(&mut self, machine: Machine) -> Result<u64, Violation> {
         let node = self.node_mut(machine);
@@ -631,95 +436,6 @@
         self.give(machine, hash_of(("persisted", number, self.now)), |replica, now| replica.persisted(number, now))
     }
 
-    /// Gives a replica one input and carries out what it asks for.
-    fn give(
-        &mut self,
-        machine: Machine,
-        input: u64,
-        call: impl FnOnce(&mut Replica<u32>, Time) -> Vec<Action<u32>>,
-    ) -> Result<(), Violation> {
-        let now = self.now;
-        let node = self.node_mut(machine);
-        let Some(replica) = &mut node.replica else { return Ok(()) };
-        node.inputs = hash_of((node.inputs, input));
-        let (commit, configuration) = (replica.commit(), replica.configuration().clone());
-        let actions = call(replica, now);
-        let (committed, leads) = (replica.commit(), replica.role() == Role::Leader);
-        let persisted = self.take_states(machine, &actions)?;
-        if committed > commit {
-            self.check_commit(machine, committed, leads.then_some(&configuration))?;
-        }
-        for action in actions {
-            self.carry_out(machine, action)?;
-        }
-        self.after_persist(machine, persisted)
-    }
-
-    /// Queues the writes among `actions`; returns the number of the last.
-    fn take_states(&mut self, machine: Machine, actions: &[Action<u32>]) -> Result<Option<u64>, Violation> {
-        let mut last = None;
-        for action in actions {
-            let Action::Persist(number, state) = action else { continue };
-            self.ledger.on_state(state)?;
-            let node = self.node_mut(machine);
-            node.latest = state.clone();
-            node.writes.push_back((*number, state.clone()));
-            last = Some(*number);
-        }
-        Ok(last)
-    }
-
-    fn check_commit(&mut self, machine: Machine, index: u64, led_by: Option<&Configuration>) -> Result<(), Violation> {
-        let state = self.nodes[&machine].latest.clone();
-        let ledger = Arc::make_mut(&mut self.ledger);
-        if let Some(configuration) = led_by {
-            ledger.on_leader_commit(machine, index, &state, configuration)?;
-        }
-        ledger.on_commit(machine, index, &state)
-    }
-
-    fn carry_out(&mut self, machine: Machine, action: Action<u32>) -> Result<(), Violation> {
-        match action {
-            Action::Send(to, message) => self.send(machine, &to, message),
-            Action::Apply(index, term, command) => {
-                let entry = Entry { term, command: Command::Apply(command) };
-                if self.ledger.committed.get(&index) != Some(&entry) {
-                    return Err(Violation::CommittedEntriesDiffer { index, machine });
-                }
-                self.node_mut(machine).applied.push((index, command));
-            }
-            Action::InstallSnapshot(snapshot) => self.install(machine, &snapshot)?,
-            Action::BecameLeader(term) => {
-                let state = self.nodes[&machine].latest.clone();
-                Arc::make_mut(&mut self.ledger).on_leader(machine, term, &name(machine), &state)?;
-            }
-            Action::Persist(..) | Action::Reconfigured(_) | Action::Learn(..) | Action::LostLeadership => {}
-        }
-        Ok(())
-    }
-
-    fn install(&mut self, machine: Machine, snapshot: &Snapshot) -> Result<(), Violation> {
-        self.ledger.on_snapshot(machine, snapshot)?;
-        self.node_mut(machine).applied = ciborium::from_reader(snapshot.data.as_ref()).unwrap_or_default();
-        Ok(())
-    }
-
-    fn after_persist(&mut self, machine: Machine, persisted: Option<u64>) -> Result<(), Violation> {
-        let Some(number) = persisted else { return Ok(()) };
-        let node = &self.nodes[&machine];
-        let leads = node.replica.as_ref().is_some_and(|replica| replica.role() == Role::Leader);
-        if let Some(state) = broken_change(self.breakage, &node.latest).filter(|_| leads) {
-            return self.replace_state(machine, state);
-        }
-        if self.reductions.writes_at_once {
-            return self.persist(machine);
-        }
-        if self.breakage == Some(Breakage::AnswersBeforeDurable) {
-            return self.give(machine, hash_of(("too early", number)), |replica, now| replica.persisted(number, now));
-        }
-        Ok(())
-    }
-
     fn send(&mut self, from: Machine, to: &Daemon, mut message: Message<u32>) {
         let Some(to) = machine_of(to).filter(|to| self.nodes.contains_key(to)) else { return };
         if self.reductions.joins_are_lost && matches!(message, Message::Join { .. }) {
@@ -809,10 +525,6 @@
     }
 }
 
-fn carries_entries(envelope: &Envelope, to: Machine) -> bool {
-    envelope.to == to && matches!(&envelope.message, Message::Append(request) if !request.entries.is_empty())
-}
-
 fn encode(applied: &[(u64, u32)]) -> Vec<u8> {
     let mut encoding = Vec::new();
     ciborium::into_writer(applied, &mut encoding).expect("it can be encoded");
--- /dev/null
+++ b/crates/election/tests/explorer/world/faults.rs
@@ -0,0 +1,51 @@
+//! Where deliberate faults touch messages and durable state.
+use super::*;
+
+impl World {
+    /// The earlier rule for snapshots: the log is emptied, and what the
+    /// replica has answered stands.
+    pub(super) fn clear_log(&mut self, machine: Machine, request: &AppendRequest<u32>) -> Result<(), Violation> {
+        if self.breakage != Some(Breakage::ClearsLogOnSnapshot) {
+            return Ok(());
+        }
+        self.persist(machine)?;
+        let state = cleared_log(&self.nodes[&machine].latest, request);
+        self.replace_state(machine, state)
+    }
+
+    /// Restarts a replica with a state that it would not have come to itself.
+    pub(super) fn replace_state(&mut self, machine: Machine, state: HardState<u32>) -> Result<(), Violation> {
+        let ledger = Arc::make_mut(&mut self.ledger);
+        ledger.on_state(&state)?;
+        ledger.on_durable(&state)?;
+        self.node_mut(machine).disk = state;
+        self.start(machine);
+        Ok(())
+    }
+
+    pub(super) fn altered_at_delivery(&self, envelope: &Envelope) -> Message<u32> {
+        let mut message = envelope.message.clone();
+        if self.breakage != Some(Breakage::CountsAnyMark) {
+            return message;
+        }
+        let receiver = &self.nodes[&envelope.to].latest;
+        let configuration = receiver.configuration_at(receiver.last_index()).1;
+        let named = configuration.voters.get(&name(envelope.from)).map(|voter| voter.mark);
+        if let (Message::VoteResponse { mark, .. } | Message::AppendResponse { mark, .. }, Some(named)) = (&mut message, named) {
+            *mark = named;
+        }
+        message
+    }
+
+    /// Sends entries one by one, and the news of what a quorum holds, whatever
+    /// its term, in a message of its own.
+    pub(super) fn send_earlier_commit(&mut self, from: Machine, to: Machine, request: &mut AppendRequest<u32>) {
+        request.entries.truncate(1);
+        let state = &self.nodes[&from].latest;
+        let counted = (1..=state.last_index()).rev().find(|index| self.ledger.counted(*index, state)).unwrap_or(0);
+        if counted > request.commit && request.snapshot.is_none() {
+            let news = AppendRequest { commit: counted, entries: Vec::new(), ..request.clone() };
+            self.post(from, to, Message::Append(news));
+        }
+    }
+}
