A keeper that copies from a replica that is gone takes another majority

Cause: an opening keeper chose the replica with the most among the first majority that answered its seal and asked it for ever. Ruled out: write sets and seats, which moved whole within 2.1 s; the replicas' files.

Test: waitlist/tests/disk_stuck.rs, a_keeper_whose_source_of_the_copy_is_gone_takes_another.

--- a/crates/waitlist/tests/disk_stuck.rs
+++ b/crates/waitlist/tests/disk_stuck.rs
@@ -161,10 +161,16 @@
     }
 
     fn settle(&mut self) {
-        while let Some((to, event)) = self.queue.pop_front() {
-            let out = self.stores.get_mut(&to).unwrap().step(event, self.now);
-            self.obey(&to, out);
-        }
+        while self.settle_one() {}
+    }
+
+    /// Hands over one event; one that is for a store that is gone is lost.
+    fn settle_one(&mut self) -> bool {
+        let Some((to, event)) = self.queue.pop_front() else { return false };
+        let Some(store) = self.stores.get_mut(&to) else { return true };
+        let out = store.step(event, self.now);
+        self.obey(&to, out);
+        true
     }
 
     fn run(&mut self, span: Span) {
@@ -291,3 +297,28 @@
     let Effect::Save { name, .. } = &out[saved] else { unreachable!() };
     assert_eq!(name, "lines-0000000000000003-0000000000000003");
 }
+
+/// The replica that holds the most answered the seal and is then gone for
+/// good: the other majority holds everything acknowledged, too.
+#[test]
+fn a_keeper_whose_source_of_the_copy_is_gone_takes_another() {
+    let mut fleet = Fleet::new();
+    fleet.carry(1, 1);
+    assert!(fleet.accepted(1), "{:?}", fleet.told);
+    let mate = fleet.own(1).unwrap().mates.keys().next().cloned().unwrap();
+    let third = (2..=3).find(|n| store(*n) != mate).unwrap();
+    fleet.keeper = third;
+    fleet.epoch += 1;
+    while fleet.phase(third) != Some(Phase::Fetching) {
+        if !fleet.settle_one() {
+            fleet.now += STEP;
+            fleet.queue.extend((1..=3).map(|n| (store(n), Event::Clock)));
+        }
+        assert!(fleet.now < Time(10_000_000), "it copied from nobody");
+    }
+    let source = fleet.stores[&store(third)].parts[&place()].fetch.as_ref().unwrap().from.clone();
+    fleet.stores.remove(&source);
+    fleet.run(Span::secs(4));
+    assert_eq!(fleet.phase(third), Some(Phase::Serving));
+    assert!(fleet.stores[&store(third)].parts[&place()].recs.contains_key(&MessageId("m1".into())));
+}
