A store without a seat holds no partition, whatever it claims

The new primary believed the returned store's checkpoint, granted it the partition in which it had no seat, and adopted its claim anew with each report after taking the grant back: the partition never opened again.

Ruled out: lost bytes (both copies were there), a stuck copy of an opening keeper (no opening was logged for that partition).

--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -16,8 +16,10 @@
 pub struct Fake {
     pub me: Member,
     pub held: BTreeMap<Duty, (Epoch, Time)>,
+    /// Grants read back from its folder, told until it is granted something.
+    pub checkpoint: BTreeMap<Duty, Epoch>,
     pub shed: BTreeSet<Duty>,
-    gave: Vec<(Duty, Epoch)>,
+    pub gave: Vec<(Duty, Epoch)>,
     /// Attempts are in hand: nothing is given up.
     pub busy: bool,
     pub unheard: Vec<Duty>,
@@ -169,6 +171,7 @@
         let one = Fake {
             me: member(name, zone),
             held: BTreeMap::new(),
+            checkpoint: BTreeMap::new(),
             shed: BTreeSet::new(),
             gave: Vec::new(),
             busy: false,
@@ -226,6 +229,9 @@
         }
         let end = Terms::default().holder_end(asked);
         f.shed = grants.iter().filter(|g| g.shed).map(|g| g.duty.clone()).collect();
+        if !grants.is_empty() {
+            f.checkpoint.clear();
+        }
         for g in grants {
             if let Duty::Keep(place) = &g.duty {
                 match &g.swap {
@@ -251,7 +257,9 @@
         let Some(f) = self.fakes.get_mut(id).filter(|f| now >= f.due) else { return };
         f.due = now + PULL;
         f.held.retain(|_, x| now < x.1);
-        let claims = f.held.iter().map(|(d, x)| Claim { duty: d.clone(), epoch: x.0, checkpoint: false }).collect();
+        let memory = f.held.iter().map(|(d, x)| Claim { duty: d.clone(), epoch: x.0, checkpoint: false });
+        let folder = f.checkpoint.iter().map(|(d, epoch)| Claim { duty: d.clone(), epoch: *epoch, checkpoint: true });
+        let claims = memory.chain(folder).collect();
         let kept: BTreeSet<&Place> = f.held.keys().filter_map(|d| if let Duty::Keep(p) = d { Some(p) } else { None }).collect();
         f.swaps.retain(|place, _| kept.contains(place));
         let swaps = f.swaps.iter().map(|(place, s)| (place.clone(), s.2)).collect();
--- a/crates/placement/tests/replacement.rs
+++ b/crates/placement/tests/replacement.rs
@@ -274,3 +274,70 @@
     assert_eq!(f.ask(Ask::RetireMachine { machine }).code, 200);
     f.until(6_000, |f| seats(f, "store-1") == 0);
 }
+
+/// The partitions that a store keeps, with their epochs.
+fn kept(fake: &Fake) -> BTreeMap<Duty, Epoch> {
+    let keeps = fake.held.iter().filter(|(duty, _)| matches!(duty, Duty::Keep(_)));
+    keeps.map(|(duty, (epoch, _))| (duty.clone(), *epoch)).collect()
+}
+
+/// Whether each of these partitions is kept by a store that has a seat in it.
+fn kept_in_their_write_sets(f: &Fleet, duties: &BTreeMap<Duty, Epoch>) -> bool {
+    duties.keys().all(|duty| {
+        let Duty::Keep(place) = duty else { return false };
+        let seated = |store: &Daemon| hard(f).layout[place].iter().any(|seat| seat.0 == *store);
+        let holders: Vec<&Fake> = f.fakes.values().filter(|x| x.held.contains_key(duty)).collect();
+        holders.len() == 1 && seated(&holders[0].me.id)
+    })
+}
+
+/// A fleet in which `store-4` took all seats of `store-1`, which is back with
+/// its disk; and what that one kept before.
+fn replaced_and_back() -> (Fleet, BTreeMap<Duty, Epoch>) {
+    let mut f = spooled(3);
+    let fake = lose(&mut f, "store-1");
+    let before = kept(&fake);
+    assert!(!before.is_empty());
+    f.run(3_000);
+    f.add("store-4", "z1");
+    f.until(REPLACED_MS, |f| seats(f, "store-1") == 0);
+    f.until(4_000, |f| kept_in_their_write_sets(f, &before));
+    return_with_disk(&mut f, fake);
+    (f, before)
+}
+
+#[test]
+fn the_checkpoint_of_a_store_that_was_replaced_is_not_believed_at_a_take_over() {
+    let (mut f, before) = replaced_and_back();
+    f.fakes.get_mut(&daemon("store-1")).unwrap().checkpoint = before.clone();
+    f.run(1_000);
+    // Its successors at these partitions are lost together with the primary.
+    let holder = |x: &&Fake| before.keys().any(|duty| x.held.contains_key(duty));
+    let holders: Vec<Daemon> = f.fakes.values().filter(holder).map(|x| x.me.id.clone()).collect();
+    lose(&mut f, holders[0].as_str());
+    let primary = f.primary().unwrap();
+    f.kill(&primary);
+    f.until(9_000, |f| f.primary().is_some());
+    f.until(9_000, |f| kept_in_their_write_sets(f, &before));
+}
+
+#[test]
+fn a_claim_of_a_store_that_was_replaced_is_not_adopted_while_serving() {
+    let (mut f, before) = replaced_and_back();
+    // A new primary hears of no holder: all stores of the write sets are gone.
+    let gone: Vec<Fake> = ["store-2", "store-3", "store-4"].map(|store| lose(&mut f, store)).into();
+    let primary = f.primary().unwrap();
+    f.kill(&primary);
+    f.until(9_000, |f| f.primary().is_some_and(|d| f.cores[&d].office == Office::Serving));
+    // Whatever this one says it holds, it has no copy that counts.
+    let long = f.now + Span::secs(60);
+    let claims = before.iter().map(|(duty, epoch)| (duty.clone(), (*epoch, long))).collect();
+    f.fakes.get_mut(&daemon("store-1")).unwrap().held = claims;
+    f.run(1_000);
+    for fake in gone {
+        return_with_disk(&mut f, fake);
+    }
+    f.run(8_000);
+    f.fakes.get_mut(&daemon("store-1")).unwrap().held.retain(|_, held| held.1 != long);
+    f.until(1_000, |f| kept_in_their_write_sets(f, &before));
+}
