A store that stops waits until its successor has its seats

Cause: a store told to stop for good went after 0.3 s; its seats moved only once it had been silent for 2 s.

Weighed: naming each stop a stop for good (a restart would move everything); the platform's word (it sends the same signal for both). Chosen: where a store without a seat came up within 30 s before, it is taken for the successor. The seats move at once, the store stays as a replica until they have, 5 s at most; else it goes as before. With placement silent it waits 2 s.

--- a/crates/placement/src/primary/replacement.rs
+++ b/crates/placement/src/primary/replacement.rs
@@ -1,8 +1,9 @@
 //! Replacement of stores: which store gives up its seat in a write set, and
 //! which one takes it.
 //!
-//! A store leaves a write set when an operator retires it, or when it has been
-//! silent for so long that it counts as gone. The keeper of the partition
+//! A store leaves a write set when an operator retires it, when it stops and a
+//! successor is there (`departure`), or when it has been silent for so long that
+//! it counts as gone. The keeper of the partition
 //! copies it whole to the joiner under a numbered `Swap`; only then the seat is
 //! moved by a committed order.
 use crate::prelude::*;
@@ -38,17 +39,30 @@
     last_round: Time,
     /// Stores taken for gone until they are heard again.
     absent: BTreeSet<Daemon>,
+    /// Stores that were told to stop and whose seats a successor takes.
+    pub departing: BTreeSet<Daemon>,
     swaps: BTreeMap<Place, Swap>,
     count: u64,
 }
 
 impl Replacements {
     pub fn new(now: Time) -> Replacements {
-        Replacements { listening: now, last_round: now, absent: BTreeSet::new(), swaps: BTreeMap::new(), count: 0 }
+        Replacements {
+            listening: now,
+            last_round: now,
+            absent: BTreeSet::new(),
+            departing: BTreeSet::new(),
+            swaps: BTreeMap::new(),
+            count: 0,
+        }
     }
     pub fn swap(&self, place: &Place) -> Option<&Swap> {
         self.swaps.get(place)
     }
+    /// Whether no seat has to move on account of stores that are gone.
+    fn idle(&self) -> bool {
+        self.absent.is_empty() && self.departing.is_empty() && self.swaps.is_empty()
+    }
     fn listen(&mut self, now: Time) {
         if now.since(self.last_round) > BREAK {
             self.listening = now;
@@ -62,6 +76,7 @@
     pub(super) fn replace_stores(&mut self, now: Time) {
         self.replacements.listen(now);
         self.mark_absent(now);
+        self.mark_departing(now);
         self.choose_swaps(now);
         self.empty_retiring(now);
         self.forget_gone(now);
@@ -103,8 +118,7 @@
     /// Decides for each partition which seat moves, and tells its keeper of
     /// each change at once.
     fn choose_swaps(&mut self, now: Time) {
-        let idle = self.replacements.absent.is_empty() && self.hard.retiring.is_empty() && self.replacements.swaps.is_empty();
-        if idle {
+        if self.replacements.idle() && self.hard.retiring.is_empty() {
             return;
         }
         let places: Vec<Place> = self.hard.layout.keys().cloned().collect();
@@ -131,13 +145,14 @@
     }
 
     /// The seat of a partition that should move, and where to. One that is
-    /// gone goes first: a retiring one still counts meanwhile.
-    fn wanted_swap(&self, place: &Place, now: Time) -> Option<(Daemon, Daemon)> {
+    /// gone or about to go is first: a retiring one still counts meanwhile.
+    pub(super) fn wanted_swap(&self, place: &Place, now: Time) -> Option<(Daemon, Daemon)> {
         let set = self.hard.layout.get(place)?;
-        let gone = set.iter().map(|s| &s.0).find(|d| self.absent(d));
+        let stores = || set.iter().map(|s| &s.0);
+        let gone = stores().find(|d| self.absent(d)).or_else(|| stores().find(|d| self.departing(d)));
         let replaced = gone.and_then(|out| Some((out.clone(), self.heir(place, out, now)?)));
         replaced.filter(|(out, joiner)| self.retiring(out) || !self.crowds(set, out, joiner)).or_else(|| {
-            let out = set.iter().map(|s| &s.0).find(|d| self.retiring(d))?;
+            let out = stores().find(|d| self.retiring(d))?;
             Some((out.clone(), self.heir(place, out, now)?))
         })
     }
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -26,6 +26,10 @@
     /// Replacements it was told of as keeper: who leaves, who joins, and the
     /// number that its report names.
     pub swaps: BTreeMap<Place, (Daemon, Daemon, Version)>,
+    /// It was told to stop and gives up what it holds.
+    pub stopping: bool,
+    /// What placement last said of waiting for its seats.
+    pub told_to_wait: Option<bool>,
     /// Joiners are whole as soon as they are named.
     pub copies: bool,
     heard: (Term, Time),
@@ -177,6 +181,8 @@
             busy: false,
             unheard: Vec::new(),
             swaps: BTreeMap::new(),
+            stopping: false,
+            told_to_wait: None,
             copies: true,
             heard: (Term(0), Time(0)),
             have: Vector::default(),
@@ -201,6 +207,11 @@
                     self.queue.push_back((to, Event::Hear { from: id.clone(), msg }));
                 }
                 Effect::Say(to, Msg::News { asked, term, items, grants, .. }) => self.news(&to, asked, term, items, grants),
+                Effect::Say(to, Msg::Departure { wait, .. }) => {
+                    if let Some(fake) = self.fakes.get_mut(&to) {
+                        fake.told_to_wait = Some(wait);
+                    }
+                }
                 Effect::Save { .. } | Effect::Remove(_) if self.stuck.contains_key(id) => {
                     self.stuck.entry(id.clone()).or_default().push(e);
                 }
@@ -257,6 +268,9 @@
         let Some(f) = self.fakes.get_mut(id).filter(|f| now >= f.due) else { return };
         f.due = now + PULL;
         f.held.retain(|_, x| now < x.1);
+        if f.stopping {
+            f.gave.extend(std::mem::take(&mut f.held).into_iter().map(|(duty, held)| (duty, held.0)));
+        }
         let memory = f.held.iter().map(|(d, x)| Claim { duty: d.clone(), epoch: x.0, checkpoint: false });
         let folder = f.checkpoint.iter().map(|(d, epoch)| Claim { duty: d.clone(), epoch: *epoch, checkpoint: true });
         let claims = memory.chain(folder).collect();
@@ -265,7 +279,16 @@
         let swaps = f.swaps.iter().map(|(place, s)| (place.clone(), s.2)).collect();
         let copied = f.swaps.iter().filter(|_| f.copies);
         let whole = copied.map(|(place, s)| (place.clone(), s.1.clone(), disk_of(s.1.as_str()))).collect();
-        let report = Report { claims, gave: f.gave.clone(), unheard: f.unheard.clone(), whole, swaps, ..Report::default() };
+        let report = Report {
+            claims,
+            gave: f.gave.clone(),
+            unheard: f.unheard.clone(),
+            whole,
+            swaps,
+            leaving: f.stopping,
+            stopping: f.stopping,
+            ..Report::default()
+        };
         let need = |f: &Fake| Msg::Need {
             asked: now,
             heard: f.heard,
--- a/crates/scale/src/meter.rs
+++ b/crates/scale/src/meter.rs
@@ -30,6 +30,7 @@
         Msg::Need { .. } => "need with report",
         Msg::News { .. } => "news",
         Msg::NotPrimary { .. } => "not primary",
+        Msg::Departure { .. } => "departure",
         Msg::Primary { .. } => "primary",
         Msg::Room { .. } => "room",
         Msg::Offers { .. } => "offers",
--- /dev/null
+++ b/crates/waitlist/tests/departure.rs
@@ -0,0 +1,152 @@
+//! A store that was told to stop: it goes when placement lets it, and never
+//! later than its bound. One core, driven by steps; the test is placement.
+use dw_waitlist::prelude::*;
+
+const STEP: Span = Span::millis(20);
+const TERM: Term = Term(3);
+
+fn daemon(name: &str) -> Daemon {
+    Daemon(name.to_string())
+}
+
+fn startup() -> Startup {
+    let me = Member {
+        machine: String::new(),
+        id: daemon("store-1"),
+        zone: Zone("z1".to_string()),
+        addr: "store-1:1".to_string(),
+        http: String::new(),
+        life: Mark(1),
+        disk: Mark(1),
+    };
+    Startup {
+        me,
+        seeds: vec![daemon("placement-1")],
+        pull: Span::millis(400),
+        terms: Terms::default(),
+        bytes_max: 1 << 20,
+        disk_max: 1 << 20,
+        cache_max: 1 << 20,
+        count_max: 1000,
+        backoff: Span::millis(200),
+        backoff_max: Span::secs(5),
+        word: Span::millis(300),
+        wall: 0,
+        seed: 1,
+    }
+}
+
+/// What placement answers to a pull of a store that stops.
+#[derive(Clone, Copy, PartialEq)]
+enum Placement {
+    Silent,
+    Says { wait: bool, term: Term },
+}
+
+struct Stopping {
+    core: Store,
+    now: Time,
+    began: Time,
+    placement: Placement,
+    gone: Option<Span>,
+    /// Pulls that said the store stops.
+    told: usize,
+}
+
+impl Stopping {
+    /// A store that placement has answered for a second, then told to stop.
+    fn new(placement: Placement) -> Stopping {
+        let now = Time(1_000_000);
+        let (core, out) = Store::new(startup(), &Vec::new(), Mark(1), now);
+        let mut stopping = Stopping { core, now, began: now, placement, gone: None, told: 0 };
+        stopping.obey(out);
+        stopping.run(Span::secs(1));
+        stopping.began = stopping.now;
+        stopping.step(Event::Leave);
+        stopping
+    }
+
+    fn step(&mut self, event: Event) {
+        let out = self.core.step(event, self.now);
+        self.obey(out);
+    }
+
+    fn obey(&mut self, out: Vec<Effect>) {
+        for effect in out {
+            match effect {
+                Effect::Say(to, Msg::Need { asked, report: Some(report), .. }) => {
+                    let news =
+                        Msg::News { asked, term: TERM, fresh: None, items: Vec::new(), grants: Vec::new(), late: Vec::new() };
+                    self.step(Event::Hear { from: to.clone(), msg: news });
+                    self.told += usize::from(report.stopping);
+                    if let (true, Placement::Says { wait, term }) = (report.stopping, self.placement) {
+                        self.step(Event::Hear { from: to, msg: Msg::Departure { term, wait } });
+                    }
+                }
+                Effect::Save { n, .. } => self.step(Event::Saved(n)),
+                Effect::Gone => _ = self.gone.get_or_insert(self.now.since(self.began)),
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            self.step(Event::Clock);
+        }
+    }
+}
+
+#[test]
+fn a_store_whose_seats_stay_goes_at_once() {
+    let mut store = Stopping::new(Placement::Says { wait: false, term: TERM });
+    store.run(Span::millis(500));
+    assert!(store.gone.is_some(), "told {} times", store.told);
+}
+
+#[test]
+fn a_store_whose_seats_move_stays_until_they_have() {
+    let mut store = Stopping::new(Placement::Says { wait: true, term: TERM });
+    store.run(Span::secs(3));
+    assert_eq!(store.gone, None);
+    assert!(store.told >= 5, "it asks with each pull: {}", store.told);
+    store.placement = Placement::Says { wait: false, term: TERM };
+    store.run(Span::millis(500));
+    assert!(store.gone.is_some());
+}
+
+#[test]
+fn a_store_whose_seats_never_move_goes_within_its_bound() {
+    let mut store = Stopping::new(Placement::Says { wait: true, term: TERM });
+    store.run(Span::secs(7));
+    let gone = store.gone.expect("gone");
+    assert!(gone > Span::secs(5) && gone < Span::millis(5_200), "{gone:?}");
+}
+
+#[test]
+fn a_store_that_nobody_answers_waits_two_seconds() {
+    let mut store = Stopping::new(Placement::Silent);
+    store.run(Span::secs(7));
+    let gone = store.gone.expect("gone");
+    assert!(gone > Span::secs(2) && gone < Span::millis(2_500), "{gone:?}");
+}
+
+#[test]
+fn the_answer_of_an_earlier_term_lets_nobody_go() {
+    let mut store = Stopping::new(Placement::Says { wait: false, term: Term(2) });
+    store.run(Span::millis(1_500));
+    assert_eq!(store.gone, None);
+}
+
+#[test]
+fn a_store_that_was_not_told_to_stop_heeds_no_answer() {
+    let mut store = Stopping::new(Placement::Silent);
+    let (core, out) = Store::new(startup(), &Vec::new(), Mark(1), store.now);
+    store.core = core;
+    store.obey(out);
+    store.step(Event::Hear { from: daemon("placement-1"), msg: Msg::Departure { term: TERM, wait: false } });
+    store.run(Span::secs(7));
+    assert_eq!((store.gone, store.told), (None, 0));
+}
