--- a/crates/election/src/configuration.rs
+++ b/crates/election/src/configuration.rs
@@ -16,7 +16,7 @@
 impl Voter {
     /// The host part of the address; all daemons of a machine share it.
     pub fn host(&self) -> &str {
-        self.address.rsplit_once(':').map_or(&self.address, |parts| parts.0)
+        host_of(&self.address)
     }
 }
 
--- a/crates/placement/src/primary/retirement.rs
+++ b/crates/placement/src/primary/retirement.rs
@@ -4,11 +4,6 @@
 use crate::prelude::*;
 use serde_json::json;
 
-/// The IP part of an address; daemons of one machine share it.
-fn host_of(addr: &str) -> &str {
-    addr.rsplit_once(':').map_or(addr, |x| x.0)
-}
-
 impl Placement {
     /// The store that runs on a machine.
     fn store_on(&self, machine: &str) -> Option<&Member> {
