--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -48,6 +48,8 @@
     /// Cores that hear nothing and are heard by nobody.
     pub cut: BTreeSet<Daemon>,
     queue: Queue<(Daemon, Event)>,
+    /// A core whose frames are counted, and the bytes of those sent to it.
+    pub metered: Option<(Daemon, usize)>,
     pub told: BTreeMap<u64, Verdict>,
     pub calls: Vec<(Time, Daemon, CallId, Call)>,
     pub platform: String,
@@ -94,6 +96,7 @@
             fakes: BTreeMap::new(),
             cut: BTreeSet::new(),
             queue: Queue::new(),
+            metered: None,
             told: BTreeMap::new(),
             calls: Vec::new(),
             platform: platform.to_string(),
@@ -204,6 +207,9 @@
             match e {
                 Effect::Say(to, _) if self.cut.contains(id) || self.cut.contains(&to) => {}
                 Effect::Say(to, msg) if self.cores.contains_key(&to) => {
+                    if let Some((_, bytes)) = self.metered.as_mut().filter(|metered| metered.0 == to) {
+                        *bytes += encode(&msg).len();
+                    }
                     self.queue.push_back((to, Event::Hear { from: id.clone(), msg }));
                 }
                 Effect::Say(to, Msg::News { asked, term, items, grants, .. }) => self.news(&to, asked, term, items, grants),
--- a/crates/placement/tests/revision.rs
+++ b/crates/placement/tests/revision.rs
@@ -343,3 +343,37 @@
         }
     }
 }
+
+/// Changes that are made while one member is away.
+const CHANGES: u64 = 1_000;
+/// What a member that returns may be sent beside the state itself: heartbeats,
+/// records of orders, entries that are not folded yet.
+const BESIDE_THE_STATE: usize = 1 << 20;
+
+#[test]
+fn a_member_that_was_away_for_a_thousand_changes_catches_up_by_state_and_can_lead() {
+    let mut f = Fleet::whole();
+    let idle: Vec<Value> = (0..500).map(|n| route(&format!("r-{n}"), &format!("/{n}/"))).collect();
+    assert_eq!(f.put(0, &charter(1, &idle)).code, 200);
+    let away = f.standby();
+    let old_files = f.files(&away);
+    f.kill(&away);
+    for n in 1..=CHANGES {
+        let part = json!({"revision": n + 1, "routes": [route("r-0", &format!("/x{n}/"))]});
+        assert_eq!(f.patch(n, &part).code, 200, "change {n}");
+    }
+    let newest = shown(&mut f);
+    f.metered = Some((away.clone(), 0));
+    f.restart_from(&away, old_files);
+    let committed = f.committed();
+    f.until(2_000, |f| f.cores[&away].election.commit() >= committed);
+    let (_, bytes) = f.metered.take().unwrap();
+    let state = newest.to_string().len();
+    assert!(bytes < 2 * state + BESIDE_THE_STATE, "{bytes} bytes to catch up with a state of {state}");
+    // It may lead now, and shows nothing old: the others follow it.
+    let primary = f.primary().unwrap();
+    f.kill(&primary);
+    f.until(9_000, |f| f.primary().is_some_and(|d| f.cores[&d].office == Office::Serving));
+    assert_eq!(shown(&mut f), newest);
+    assert_eq!(f.cores[&away].hard.charter, f.cores[&f.primary().unwrap()].hard.charter);
+}
