--- a/crates/placement/tests/departure.rs
+++ b/crates/placement/tests/departure.rs
@@ -6,29 +6,6 @@
 /// A store that stops goes after this, whatever it is told.
 const GONE_WITHIN_MS: u64 = 5_000;
 
-fn spooled(stores: usize) -> Fleet {
-    let mut f = Fleet::whole();
-    for n in 4..=stores {
-        f.add(&format!("store-{n}"), &format!("z{}", (n - 1) % 3 + 1));
-    }
-    f.run(2_000);
-    assert_eq!(f.put(0, &first()).code, 200);
-    f.run(6_000);
-    f
-}
-
-fn hard(f: &Fleet) -> &Hard {
-    &f.cores[&f.primary().expect("a primary")].hard
-}
-
-fn seats(f: &Fleet, store: &str) -> usize {
-    hard(f).layout.values().filter(|set| set.iter().any(|s| s.0 == daemon(store))).count()
-}
-
-fn swaps(f: &Fleet) -> usize {
-    f.fakes.values().map(|x| x.swaps.len()).sum()
-}
-
 fn stop(f: &mut Fleet, store: &str) {
     f.fakes.get_mut(&daemon(store)).expect("a daemon").stopping = true;
 }
@@ -37,10 +14,6 @@
     f.fakes[&daemon(store)].told_to_wait
 }
 
-fn copying(f: &mut Fleet, on: bool) {
-    f.fakes.values_mut().for_each(|x| x.copies = on);
-}
-
 #[test]
 fn a_store_that_stops_waits_until_its_successor_has_its_seats() {
     let mut f = spooled(3);
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -1,9 +1,11 @@
 //! Three placement cores and the stores and deliveries around them, driven by
 //! steps alone: words arrive at once, saves end at once, no clock is read.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
+mod stores;
 use dw_election::prelude::Command;
 pub use dw_placement::prelude::*;
 pub use serde_json::{json, Value};
+pub use stores::*;
 pub const REACHES: usize = dw_types::id::REACHES as usize;
 use std::collections::VecDeque as Queue;
 
--- a/crates/placement/tests/replacement.rs
+++ b/crates/placement/tests/replacement.rs
@@ -6,29 +6,6 @@
 /// The bound from a replacement's start to the next loss, less a margin.
 const REPLACED_MS: u64 = 3_000;
 
-fn spooled(stores: usize) -> Fleet {
-    let mut f = Fleet::whole();
-    for n in 4..=stores {
-        f.add(&format!("store-{n}"), &format!("z{}", (n - 1) % 3 + 1));
-    }
-    f.run(2_000);
-    assert_eq!(f.put(0, &first()).code, 200);
-    f.run(6_000);
-    f
-}
-
-fn hard(f: &Fleet) -> &Hard {
-    &f.cores[&f.primary().expect("a primary")].hard
-}
-
-fn seats(f: &Fleet, store: &str) -> usize {
-    hard(f).layout.values().filter(|set| set.iter().any(|s| s.0 == daemon(store))).count()
-}
-
-fn swaps(f: &Fleet) -> usize {
-    f.fakes.values().map(|x| x.swaps.len()).sum()
-}
-
 fn lose(f: &mut Fleet, store: &str) -> Fake {
     f.fakes.remove(&daemon(store)).expect("a daemon")
 }
@@ -41,10 +18,6 @@
     f.fakes.insert(fake.me.id.clone(), fake);
 }
 
-fn copying(f: &mut Fleet, on: bool) {
-    f.fakes.values_mut().for_each(|x| x.copies = on);
-}
-
 #[test]
 fn a_replacement_gets_the_seats_of_the_store_that_is_gone() {
     let mut f = spooled(3);
--- a/crates/placement/tests/retirement.rs
+++ b/crates/placement/tests/retirement.rs
@@ -2,17 +2,6 @@
 mod fleet;
 use fleet::*;
 
-fn spooled(stores: usize) -> Fleet {
-    let mut f = Fleet::whole();
-    for n in 4..=stores {
-        f.add(&format!("store-{n}"), &format!("z{}", (n - 1) % 3 + 1));
-    }
-    f.run(2_000);
-    assert_eq!(f.put(0, &first()).code, 200);
-    f.run(6_000);
-    f
-}
-
 fn retire(f: &mut Fleet, machine: &str) -> u16 {
     f.ask(Ask::RetireMachine { machine: machine.to_string() }).code
 }
@@ -22,11 +11,6 @@
     (v.code, said(&v)["retirement"].as_str().unwrap_or("").to_string())
 }
 
-fn seats(f: &Fleet, store: &str) -> usize {
-    let hard = &f.cores[&f.primary().expect("a primary")].hard;
-    hard.layout.values().filter(|set| set.iter().any(|s| s.0 == daemon(store))).count()
-}
-
 #[test]
 fn a_machine_is_emptied_within_its_time_and_then_told_gone() {
     let mut f = spooled(4);
--- a/crates/waitlist/tests/departure.rs
+++ b/crates/waitlist/tests/departure.rs
@@ -1,41 +1,12 @@
 //! A store that was told to stop: it goes when placement lets it, and never
 //! later than its bound. One core, driven by steps; the test is placement.
+mod settings;
 use dw_waitlist::prelude::*;
+use settings::*;
 
 const STEP: Span = Span::millis(20);
 const TERM: Term = Term(3);
 
-fn daemon(name: &str) -> Daemon {
-    Daemon(name.to_string())
-}
-
-fn startup() -> Startup {
-    let me = Member {
-        machine: String::new(),
-        id: daemon("store-1"),
-        zone: Zone("z1".to_string()),
-        addr: "store-1:1".to_string(),
-        http: String::new(),
-        life: Mark(1),
-        disk: Mark(1),
-    };
-    Startup {
-        me,
-        seeds: vec![daemon("placement-1")],
-        pull: Span::millis(400),
-        terms: Terms::default(),
-        bytes_max: 1 << 20,
-        disk_max: 1 << 20,
-        cache_max: 1 << 20,
-        count_max: 1000,
-        backoff: Span::millis(200),
-        backoff_max: Span::secs(5),
-        word: Span::millis(300),
-        wall: 0,
-        seed: 1,
-    }
-}
-
 /// What placement answers to a pull of a store that stops.
 #[derive(Clone, Copy, PartialEq)]
 enum Placement {
@@ -57,7 +28,7 @@
     /// A store that placement has answered for a second, then told to stop.
     fn new(placement: Placement) -> Stopping {
         let now = Time(1_000_000);
-        let (core, out) = Store::new(startup(), &Vec::new(), Mark(1), now);
+        let (core, out) = Store::new(startup(member("store-1", "z1")), &Vec::new(), Mark(1), now);
         let mut stopping = Stopping { core, now, began: now, placement, gone: None, told: 0 };
         stopping.obey(out);
         stopping.run(Span::secs(1));
@@ -143,7 +114,7 @@
 #[test]
 fn a_store_that_was_not_told_to_stop_heeds_no_answer() {
     let mut store = Stopping::new(Placement::Silent);
-    let (core, out) = Store::new(startup(), &Vec::new(), Mark(1), store.now);
+    let (core, out) = Store::new(startup(member("store-1", "z1")), &Vec::new(), Mark(1), store.now);
     store.core = core;
     store.obey(out);
     store.step(Event::Hear { from: daemon("placement-1"), msg: Msg::Departure { term: TERM, wait: false } });
--- a/crates/waitlist/tests/disk_stuck.rs
+++ b/crates/waitlist/tests/disk_stuck.rs
@@ -1,16 +1,14 @@
 //! Three stores of one write set, driven by steps: what a store does whose
 //! disk takes no writes, and what the others do meanwhile.
+mod settings;
 use dw_waitlist::prelude::*;
+use settings::*;
 use std::collections::{BTreeMap, VecDeque};
 
 const CHARTER: &str = include_str!("../../../samples/kharita/charter.json");
 const STEP: Span = Span::millis(20);
 const TERM: Term = Term(1);
 
-fn daemon(name: &str) -> Daemon {
-    Daemon(name.to_string())
-}
-
 fn store(n: u64) -> Daemon {
     daemon(&format!("store-{n}"))
 }
@@ -19,34 +17,12 @@
     Place { tenant: "curators".into(), waitlist: "sheets".into(), part: 1 }
 }
 
-fn member(n: u64) -> Member {
-    Member {
-        machine: String::new(),
-        id: store(n),
-        zone: Zone(format!("z{n}")),
-        addr: format!("store-{n}:1"),
-        http: String::new(),
-        life: Mark(1),
-        disk: Mark(n),
-    }
+fn numbered(n: u64) -> Member {
+    Member { disk: Mark(n), ..member(&format!("store-{n}"), &format!("z{n}")) }
 }
 
-fn startup(n: u64) -> Startup {
-    Startup {
-        me: member(n),
-        seeds: vec![daemon("placement-1")],
-        pull: Span::millis(400),
-        terms: Terms::default(),
-        bytes_max: 1 << 20,
-        disk_max: 1 << 20,
-        cache_max: 1 << 20,
-        count_max: 1000,
-        backoff: Span::millis(200),
-        backoff_max: Span::secs(5),
-        word: Span::millis(300),
-        wall: 0,
-        seed: n,
-    }
+fn settings_of(n: u64) -> Startup {
+    Startup { seed: n, ..startup(numbered(n)) }
 }
 
 #[derive(Default)]
@@ -82,7 +58,7 @@
             reports: BTreeMap::new(),
         };
         for n in 1..=3 {
-            let (core, out) = Store::new(startup(n), &Vec::new(), Mark(n), fleet.now);
+            let (core, out) = Store::new(settings_of(n), &Vec::new(), Mark(n), fleet.now);
             fleet.stores.insert(store(n), core);
             fleet.disks.insert(store(n), Disk::default());
             fleet.obey(&store(n), out);
@@ -119,7 +95,7 @@
         let placing = Placing { keeper: store(self.keeper), epoch };
         let items = vec![
             (version(1), Item::Charter(CHARTER.to_string())),
-            (version(1), Item::Members((1..=3).map(member).collect())),
+            (version(1), Item::Members((1..=3).map(numbered).collect())),
             (version(self.epoch), Item::Places(vec![(place(), placing)])),
         ];
         let set = (1..=3).map(|n| (store(n), Mark(n))).collect();
@@ -288,7 +264,7 @@
     let torn = ("lines-0000000000000002-0000000000000002".to_string(), Bytes::new());
     let line = vec![Line::Mark(Mark(5))];
     let whole = ("lines-0000000000000001-0000000000000001".to_string(), Bytes::from(encode(&line)));
-    let (store, out) = Store::new(startup(1), &vec![whole, torn], Mark(9), Time::millis(1));
+    let (store, out) = Store::new(settings_of(1), &vec![whole, torn], Mark(9), Time::millis(1));
     assert_eq!(store.mark, Mark(9));
     let saved = out.iter().position(|e| matches!(e, Effect::Save { .. })).unwrap();
     let removed: Vec<usize> = (0..out.len()).filter(|at| matches!(out[*at], Effect::Remove(_))).collect();
--- a/crates/waitlist/tests/replacement.rs
+++ b/crates/waitlist/tests/replacement.rs
@@ -1,7 +1,9 @@
 //! A partition's keeper while one of its stores is replaced: what a copy must
 //! hold before it may take the seat. Three store cores and a joiner, driven by
 //! steps alone; the test stands for placement and hands out the grants.
+mod settings;
 use dw_waitlist::prelude::*;
+use settings::*;
 use std::collections::VecDeque as Queue;
 
 const STEP: Span = Span::millis(50);
@@ -10,24 +12,12 @@
 const THIRD: &str = "store-3";
 const JOINER: &str = "store-4";
 
-fn daemon(name: &str) -> Daemon {
-    Daemon(name.to_string())
-}
-
 fn place() -> Place {
     Place { tenant: "curators".into(), waitlist: "sheets".into(), part: 0 }
 }
 
-fn member(name: &str) -> Member {
-    Member {
-        id: daemon(name),
-        zone: Zone(name.replace("store", "zone")),
-        addr: format!("{name}:1"),
-        http: String::new(),
-        life: Mark(1),
-        disk: Mark(0),
-        machine: String::new(),
-    }
+fn in_own_zone(name: &str) -> Member {
+    member(name, &name.replace("store", "zone"))
 }
 
 struct Stores {
@@ -61,23 +51,14 @@
             asked: 0,
         };
         for name in set.iter().copied().chain([JOINER]) {
-            let startup = Startup {
-                me: member(name),
-                seeds: vec![daemon("placement-1")],
+            let settings = Startup {
                 pull: Span::millis(300),
-                terms: Terms::default(),
-                bytes_max: 1 << 20,
-                disk_max: 1 << 20,
-                cache_max: 1 << 20,
-                count_max: 1000,
-                backoff: Span::millis(200),
-                backoff_max: Span::secs(5),
                 word: Span::millis(500),
-                wall: 0,
                 seed: hash_of(name.as_bytes()),
+                ..startup(in_own_zone(name))
             };
             let none: Vec<(String, Bytes)> = Vec::new();
-            let (core, out) = Store::new(startup, &none, Mark(hash_of(name.as_bytes())), s.now);
+            let (core, out) = Store::new(settings, &none, Mark(hash_of(name.as_bytes())), s.now);
             s.cores.insert(daemon(name), core);
             s.obey(&daemon(name), out);
         }
@@ -110,7 +91,7 @@
     }
     /// Answers a pull as placement does: members, and the keeper's grant.
     fn answer(&mut self, to: &Daemon, asked: Time, report: Option<Report>) {
-        let members = self.cores.iter().map(|(d, core)| Member { disk: core.mark, ..member(d.as_str()) }).collect();
+        let members = self.cores.iter().map(|(d, core)| Member { disk: core.mark, ..in_own_zone(d.as_str()) }).collect();
         let version = Version { term: Term(1), count: 1 };
         let rules = json_of_rules();
         let items = vec![(version, Item::Members(members)), (version, Item::Charter(rules))];
