--- a/crates/placement/tests/departure.rs
+++ b/crates/placement/tests/departure.rs
@@ -6,6 +6,15 @@
 /// A store that stops goes after this, whatever it is told.
 const GONE_WITHIN_MS: u64 = 5_000;
 
+/// Three stores and, in the first one's zone, one without a seat that just
+/// came up.
+fn with_successor() -> Fleet {
+    let mut f = spooled(3);
+    f.add("store-4", "z1");
+    f.run(1_500);
+    f
+}
+
 fn stop(f: &mut Fleet, store: &str) {
     f.fakes.get_mut(&daemon(store)).expect("a daemon").stopping = true;
 }
@@ -16,9 +25,7 @@
 
 #[test]
 fn a_store_that_stops_waits_until_its_successor_has_its_seats() {
-    let mut f = spooled(3);
-    f.add("store-4", "z1");
-    f.run(1_500);
+    let mut f = with_successor();
     copying(&mut f, false);
     stop(&mut f, "store-1");
     f.until(800, |f| told_to_wait(f, "store-1") == Some(true));
@@ -31,9 +38,7 @@
 
 #[test]
 fn the_seats_go_on_moving_after_the_store_has_gone() {
-    let mut f = spooled(3);
-    f.add("store-4", "z1");
-    f.run(1_500);
+    let mut f = with_successor();
     copying(&mut f, false);
     stop(&mut f, "store-1");
     f.until(2_000, |f| swaps(f) == 6);
@@ -61,9 +66,7 @@
 
 #[test]
 fn a_store_that_is_back_before_its_seats_moved_keeps_them() {
-    let mut f = spooled(3);
-    f.add("store-4", "z1");
-    f.run(1_500);
+    let mut f = with_successor();
     copying(&mut f, false);
     stop(&mut f, "store-1");
     f.until(2_000, |f| swaps(f) == 6);
@@ -102,9 +105,7 @@
 
 #[test]
 fn a_new_primary_that_has_not_heard_all_lets_the_store_wait() {
-    let mut f = spooled(3);
-    f.add("store-4", "z1");
-    f.run(1_500);
+    let mut f = with_successor();
     copying(&mut f, false);
     stop(&mut f, "store-1");
     f.run(500);
--- a/crates/sim/tests/control.rs
+++ b/crates/sim/tests/control.rs
@@ -2,7 +2,7 @@
 //! to fail with one thing deliberately broken, and a part of the sweep holds.
 mod common;
 
-use common::{all, caught, scenario};
+use common::{all, caught, caught_under_some, scenario};
 use dw_sim::prelude::*;
 use std::cell::RefCell;
 
@@ -138,3 +138,16 @@
     let bad = all(kept.into_iter().chain(replaced).collect());
     assert!(bad.is_empty(), "{bad:#?}");
 }
+
+#[test]
+fn stores_that_stop_without_saying_so_are_caught() {
+    let breakage: Breakage = |effect, _| {
+        if let Effect::Say(_, Msg::Need { report: Some(report), .. }) = effect {
+            report.stopping = false;
+        }
+        false
+    };
+    // What the lost copies said is gone: that a message ended and is owed its call-back.
+    let lost = |broken: &str| broken.starts_with("backs: ") && broken.contains("never told");
+    caught_under_some(&scenario("118"), &[2, 4, 6], breakage, lost);
+}
