--- a/crates/placement/tests/replacement.rs
+++ b/crates/placement/tests/replacement.rs
@@ -18,6 +18,19 @@
     f.fakes.insert(fake.me.id.clone(), fake);
 }
 
+/// A fleet in which `store-4` is to take all seats of `store-1`, which is gone,
+/// and no copy is made; and the one that is gone.
+fn replacement_under_way() -> (Fleet, Fake) {
+    let mut f = spooled(3);
+    copying(&mut f, false);
+    let fake = lose(&mut f, "store-1");
+    f.run(3_000);
+    f.add("store-4", "z1");
+    f.fakes.get_mut(&daemon("store-4")).unwrap().copies = false;
+    f.until(REPLACED_MS, |f| swaps(f) == 6);
+    (f, fake)
+}
+
 #[test]
 fn a_replacement_gets_the_seats_of_the_store_that_is_gone() {
     let mut f = spooled(3);
@@ -62,13 +75,7 @@
 
 #[test]
 fn a_store_that_comes_back_in_time_keeps_its_seats() {
-    let mut f = spooled(3);
-    copying(&mut f, false);
-    let fake = lose(&mut f, "store-1");
-    f.run(3_000);
-    f.add("store-4", "z1");
-    f.fakes.get_mut(&daemon("store-4")).unwrap().copies = false;
-    f.until(REPLACED_MS, |f| swaps(f) == 6);
+    let (mut f, fake) = replacement_under_way();
     return_with_disk(&mut f, fake);
     f.until(1_500, |f| swaps(f) == 0);
     copying(&mut f, true);
@@ -93,13 +100,7 @@
 
 #[test]
 fn a_copy_made_under_an_earlier_replacement_is_not_counted() {
-    let mut f = spooled(3);
-    copying(&mut f, false);
-    let fake = lose(&mut f, "store-1");
-    f.run(3_000);
-    f.add("store-4", "z1");
-    f.fakes.get_mut(&daemon("store-4")).unwrap().copies = false;
-    f.until(REPLACED_MS, |f| swaps(f) == 6);
+    let (mut f, fake) = replacement_under_way();
     let old: BTreeMap<Place, Version> = f.fakes.values().flat_map(|x| x.swaps.iter().map(|(p, s)| (p.clone(), s.2))).collect();
     return_with_disk(&mut f, fake);
     f.until(1_500, |f| swaps(f) == 0);
