Sight: a keeper logs attempts that pass their end, and successes of them

Each end that is told now says how long ago it came. The keeper judges each success of an attempt that is not under way by its own account: ended in time and told late (event 311), or ended beyond the keeper's end or beyond the rest at the opening (312, a violation). Lapses are event 310. All are counted and shown in status. Nothing is decided by it.

--- /dev/null
+++ b/crates/waitlist/src/attempts.rs
@@ -0,0 +1,72 @@
+//! Whether attempts end when their keeper counts on it. A keeper that heard
+//! nothing of an attempt hands its message out again after the attempt's end;
+//! that is safe only if no run of it goes on beyond that end.
+use crate::prelude::*;
+
+/// Attempts remembered after their end, and successes judged, at most.
+const REMEMBERED: usize = 4096;
+
+/// What a success of an attempt that was taken for over shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LateSuccess {
+    /// It ended in time and was told late.
+    ToldLate { by: Span },
+    /// It ran on beyond the end that its keeper had set.
+    OutlivedEnd { by: Span },
+    /// It was handed out by an earlier keeper, and ran on beyond the rest that
+    /// its records were given when this one opened.
+    OutlivedRest { by: Span },
+}
+
+impl LateSuccess {
+    /// Whether an attempt did not end when it had to.
+    pub fn is_violation(self) -> bool {
+        !matches!(self, LateSuccess::ToldLate { .. })
+    }
+}
+
+impl std::fmt::Display for LateSuccess {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            LateSuccess::ToldLate { by } => write!(f, "told {} ms after the attempt's end", by.as_millis()),
+            LateSuccess::OutlivedEnd { by } => write!(f, "ended {} ms after the attempt's end", by.as_millis()),
+            LateSuccess::OutlivedRest { by } => write!(f, "ended {} ms after the rest at the opening", by.as_millis()),
+        }
+    }
+}
+
+/// The attempts of one keeping that passed their end without a word.
+/// Invariants: of each attempt a success is judged once; both are bounded.
+#[derive(Debug, Default)]
+pub struct OverdueAttempts {
+    ends: BTreeMap<u64, Time>,
+    judged: BTreeSet<(Epoch, u64)>,
+}
+
+impl OverdueAttempts {
+    /// An attempt of this keeping passed its end without a word.
+    pub fn lapsed(&mut self, attempt: u64, end: Time) {
+        self.ends.insert(attempt, end);
+        if self.ends.len() > REMEMBERED {
+            self.ends.pop_first();
+        }
+    }
+
+    /// Judges a success, told at `now`, of an attempt that is not under way by
+    /// the keeper's own account. `epoch` and `rest` are the keeping's.
+    pub fn judge(&mut self, told: &Settled, epoch: Epoch, rest: Time, now: Time) -> Option<LateSuccess> {
+        let ended = Time(now.0.saturating_sub(told.ended_ago.0));
+        if told.epoch != epoch {
+            let first = self.judged.insert((told.epoch, told.attempt));
+            if self.judged.len() > REMEMBERED {
+                self.judged.pop_first();
+            }
+            return (first && ended > rest).then(|| LateSuccess::OutlivedRest { by: ended.since(rest) });
+        }
+        let end = self.ends.remove(&told.attempt)?;
+        match ended > end {
+            true => Some(LateSuccess::OutlivedEnd { by: ended.since(end) }),
+            false => Some(LateSuccess::ToldLate { by: now.since(end) }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/waitlist/src/store/attempt_ends.rs
@@ -0,0 +1,44 @@
+//! What the log and the counts tell of attempts that did not end as their
+//! keeper counted on.
+use crate::prelude::*;
+
+impl Store {
+    /// Attempts whose end passed without a word: their messages go on.
+    pub(super) fn lapse_overdue(&mut self, place: &Place, now: Time) {
+        let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
+        let mut over = Vec::new();
+        for (seq, flight) in own.lane.overdue(now) {
+            own.overdue.lapsed(flight.attempt, flight.end);
+            *self.mute.entry(flight.duty.clone()).or_default() += 1;
+            over.extend(own.lane.ids.get(&seq).map(|id| (id.clone(), flight)));
+        }
+        for (id, flight) in over {
+            self.counts.lapsed += 1;
+            self.note(Note::Lapse, format!("{place} {id} attempt {} at {}", flight.attempt, flight.to));
+            self.lapsed(place, &id, now);
+        }
+    }
+
+    /// Judges a success of an attempt that is not under way here.
+    pub(super) fn judge_success(&mut self, from: &Daemon, told: &Settled, now: Time) {
+        let Some(p) = self.parts.get_mut(&told.place) else { return };
+        let Some(own) = p.own.as_mut() else { return };
+        let Some(late) = own.overdue.judge(told, own.epoch, own.quiet, now) else { return };
+        let seq = p.recs.get(&told.id).map(|r| r.head.seq);
+        let again = seq.and_then(|seq| own.lane.flights.get(&seq)).map(|f| f.attempt);
+        let again = again.map_or(String::from("none under way now"), |n| format!("attempt {n} under way now"));
+        let text =
+            format!("{} {} attempt {} of epoch {} at {from}: {late}, {again}", told.place, told.id, told.attempt, told.epoch);
+        let note = match late.is_violation() {
+            true => {
+                self.counts.outlived += 1;
+                Note::AttemptOutlived
+            }
+            false => {
+                self.counts.told_late += 1;
+                Note::LateSuccess
+            }
+        };
+        self.note(note, text);
+    }
+}
