--- a/crates/sim/src/world/processes.rs
+++ b/crates/sim/src/world/processes.rs
@@ -124,6 +124,15 @@
                     self.count("mates", 1);
                     self.say(format!("{id} 304 {text}"));
                 }
+                Effect::Note(note @ (Note::Lapse | Note::LateSuccess), text) => {
+                    let what = if note == Note::Lapse { "attempts lapsed" } else { "successes told late" };
+                    self.count(what, 1);
+                    self.say(format!("{id} {} {}: {text}", note.number(), note.what()));
+                }
+                // The core found an invariant of its own broken.
+                Effect::Note(note @ Note::AttemptOutlived, text) => {
+                    self.check.flag(format!("invariant: {id} {}: {text}", note.what()));
+                }
                 Effect::Note(note, text) => self.say(format!("{id} {} {}: {text}", note.number(), note.what())),
                 Effect::Gone => self.goes(id),
                 Effect::Learn(..) | Effect::Zone(..) => {}
