--- a/crates/sim/src/roll_schedule.rs
+++ b/crates/sim/src/roll_schedule.rs
@@ -36,7 +36,7 @@
         let from = at + Span::millis(rng.u64(..5000));
         let (gap, away) = (Span::millis(rng.u64(1000..3000)), Span::millis(rng.u64(500..1500)));
         roll(Turn { kinds: &["delivery"], from, gap, away }, &mut rng, &mut act);
-        at = at + Span::millis(rng.u64(10_000..18_000));
+        at += Span::millis(rng.u64(10_000..18_000));
     }
     steps.sort_by_key(|step| step.at);
     let rate = rng.u64(60..100);
@@ -54,6 +54,6 @@
             act(at, Act::Leave(format!("{kind}-{n}")));
             act(at + turn.away, Act::Start(format!("{kind}-{n}")));
         }
-        at = at + turn.gap;
+        at += turn.gap;
     }
 }
