A success is written down at once, also while another attempt may be under way

Cause of the incident TWICE as reproduced: a keeper that rests after its opening kept a success back in memory only (Keep::won), unwritten and not noted to the delivery. Each planned hand-over dropped it and began the rest anew; a delivery that was told to end gave up waiting and took the success with it, and the next keeper ran the message again, 8 to 21 s after the success, with no trouble near.

--- /dev/null
+++ b/crates/waitlist/tests/hand_over.rs
@@ -0,0 +1,96 @@
+//! What is known of attempts when a partition goes from keeper to keeper.
+mod settings;
+mod trio;
+use dw_waitlist::prelude::*;
+use settings::*;
+use trio::*;
+
+/// Long enough to open, and much shorter than the rest after an opening.
+const OPENS: Span = Span::millis(600);
+
+fn id() -> MessageId {
+    MessageId("m1".into())
+}
+
+/// The partition goes to store `n`, which opens it and rests.
+fn hand_to(fleet: &mut Fleet, n: u64) {
+    fleet.keeper = n;
+    fleet.epoch += 1;
+    fleet.run(OPENS);
+    assert_eq!(fleet.phase(n), Some(Phase::Serving));
+    assert!(fleet.own(n).unwrap().quiet > fleet.now, "it does not rest");
+}
+
+/// A delivery tells store `n` that attempt 1 of the first keeper succeeded.
+fn tell_success(fleet: &mut Fleet, n: u64) {
+    let epoch = Epoch { term: TERM, count: 1 };
+    let told = Told::Success;
+    let one = Settled {
+        place: place(),
+        id: id(),
+        epoch,
+        attempt: 1,
+        stage: Stage::Work,
+        told,
+        seal: String::new(),
+        ended_ago: Span::ZERO,
+    };
+    let msg = Msg::Settled { all: vec![one] };
+    fleet.queue.push_back((store(n), Event::Hear { from: daemon("delivery-1"), msg }));
+    fleet.settle();
+}
+
+fn stage_at(fleet: &Fleet, n: u64) -> Stage {
+    fleet.stores[&store(n)].parts[&place()].recs[&id()].stage
+}
+
+/// The stage that callers are shown by store `n`.
+fn shown_by(fleet: &mut Fleet, n: u64) -> Stage {
+    let msg = Msg::Peek { ask: 9, proxy: daemon("proxy-1"), via: None, place: place(), id: id(), body: false };
+    fleet.queue.push_back((store(n), Event::Hear { from: daemon("proxy-1"), msg }));
+    fleet.settle();
+    match fleet.shown.take() {
+        Some(Found::Here { stage, .. }) => stage,
+        other => panic!("shown {other:?}"),
+    }
+}
+
+fn accepted_and_handed_over() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.carry(1, 1);
+    assert!(fleet.accepted(1), "{:?}", fleet.told);
+    hand_to(&mut fleet, 2);
+    fleet
+}
+
+#[test]
+fn a_success_told_to_a_resting_keeper_is_noted_at_once_and_shown_after_the_rest() {
+    let mut fleet = accepted_and_handed_over();
+    tell_success(&mut fleet, 2);
+    assert_eq!(fleet.noted, [(daemon("delivery-1"), 1)]);
+    assert_eq!(shown_by(&mut fleet, 2), Stage::Work);
+    let rest = fleet.own(2).unwrap().quiet.since(fleet.now);
+    fleet.run(rest + Span::millis(1500));
+    assert_eq!(shown_by(&mut fleet, 2), Stage::Ended(Outcome::Succeeded));
+}
+
+/// Incident TWICE: the next keeper knew nothing of it and ran the message.
+#[test]
+fn a_success_told_to_a_resting_keeper_is_known_to_the_next_ones() {
+    let mut fleet = accepted_and_handed_over();
+    tell_success(&mut fleet, 2);
+    hand_to(&mut fleet, 3);
+    assert_eq!(stage_at(&fleet, 3), Stage::Ended(Outcome::Succeeded));
+    fleet.stores.remove(&store(2));
+    hand_to(&mut fleet, 1);
+    assert_eq!(stage_at(&fleet, 1), Stage::Ended(Outcome::Succeeded));
+}
+
+#[test]
+fn a_success_told_again_is_noted_again() {
+    let mut fleet = accepted_and_handed_over();
+    tell_success(&mut fleet, 2);
+    hand_to(&mut fleet, 3);
+    tell_success(&mut fleet, 3);
+    assert_eq!(fleet.noted.len(), 2);
+}
--- /dev/null
+++ b/crates/waitlist/tests/trio/mod.rs
@@ -0,0 +1,210 @@
+//! Three stores of one write set, driven by steps. Placement is played by the
+//! fixture: it grants the one partition to `keeper` under `epoch`.
+#![allow(dead_code)]
+use crate::settings::*;
+use dw_waitlist::prelude::*;
+use std::collections::{BTreeMap, VecDeque};
+
+pub const CHARTER: &str = include_str!("../../../../samples/kharita/charter.json");
+pub const STEP: Span = Span::millis(20);
+pub const TERM: Term = Term(1);
+
+pub fn store(n: u64) -> Daemon {
+    daemon(&format!("store-{n}"))
+}
+
+pub fn place() -> Place {
+    Place { tenant: "curators".into(), waitlist: "sheets".into(), part: 1 }
+}
+
+pub fn numbered(n: u64) -> Member {
+    Member { disk: Mark(n), ..member(&format!("store-{n}"), &format!("z{n}")) }
+}
+
+pub fn settings_of(n: u64) -> Startup {
+    Startup { seed: n, ..startup(numbered(n)) }
+}
+
+#[derive(Default)]
+pub struct Disk {
+    /// Saves that wait because the disk is stuck.
+    pub waiting: Option<Vec<u64>>,
+}
+
+pub struct Fleet {
+    pub now: Time,
+    pub stores: BTreeMap<Daemon, Store>,
+    pub disks: BTreeMap<Daemon, Disk>,
+    pub queue: VecDeque<(Daemon, Event)>,
+    pub epoch: u64,
+    pub keeper: u64,
+    /// Attempts noted to deliveries.
+    pub noted: Vec<(Daemon, u64)>,
+    /// What a seeker was last shown.
+    pub shown: Option<Found>,
+    /// Told to the proxy, by ask.
+    pub told: BTreeMap<u64, Carried>,
+    /// The latest report of each store.
+    pub reports: BTreeMap<Daemon, Report>,
+}
+
+impl Fleet {
+    /// Store 1 keeps the partition and serves.
+    pub fn new() -> Fleet {
+        let mut fleet = Fleet {
+            now: Time(1_000_000),
+            stores: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            queue: VecDeque::new(),
+            epoch: 1,
+            keeper: 1,
+            noted: Vec::new(),
+            shown: None,
+            told: BTreeMap::new(),
+            reports: BTreeMap::new(),
+        };
+        for n in 1..=3 {
+            let (core, out) = Store::new(settings_of(n), &Vec::new(), Mark(n), fleet.now);
+            fleet.stores.insert(store(n), core);
+            fleet.disks.insert(store(n), Disk::default());
+            fleet.obey(&store(n), out);
+        }
+        fleet.run(Span::secs(1));
+        assert_eq!(fleet.phase(1), Some(Phase::Serving));
+        fleet
+    }
+
+    pub fn own(&self, n: u64) -> Option<&Keep> {
+        self.stores[&store(n)].parts.get(&place()).and_then(|part| part.own.as_ref())
+    }
+
+    pub fn phase(&self, n: u64) -> Option<Phase> {
+        self.own(n).map(|own| own.phase)
+    }
+
+    pub fn stick(&mut self, n: u64) {
+        self.disks.get_mut(&store(n)).unwrap().waiting = Some(Vec::new());
+        self.queue.push_back((store(n), Event::DiskStuck(true)));
+    }
+
+    pub fn free(&mut self, n: u64) {
+        let saves = self.disks.get_mut(&store(n)).unwrap().waiting.take().unwrap();
+        for save in saves {
+            self.queue.push_back((store(n), Event::Saved(save)));
+        }
+        self.queue.push_back((store(n), Event::DiskStuck(false)));
+    }
+
+    pub fn news(&self, asked: Time, to: &Daemon) -> Msg {
+        let version = |count| Version { term: TERM, count };
+        let epoch = Epoch { term: TERM, count: self.epoch };
+        let placing = Placing { keeper: store(self.keeper), epoch };
+        let items = vec![
+            (version(1), Item::Charter(CHARTER.to_string())),
+            (version(1), Item::Members((1..=3).map(numbered).collect())),
+            (version(self.epoch), Item::Places(vec![(place(), placing)])),
+        ];
+        let set = (1..=3).map(|n| (store(n), Mark(n))).collect();
+        let grant =
+            Grant { duty: Duty::Keep(place()), epoch, set, swap: None, swap_number: Version::ZERO, shed: false, slice: None };
+        let grants = if *to == store(self.keeper) { vec![grant] } else { Vec::new() };
+        Msg::News { asked, term: TERM, fresh: Some(Span::secs(2)), items, grants, late: Vec::new() }
+    }
+
+    pub fn obey(&mut self, from: &Daemon, out: Vec<Effect>) {
+        for effect in out {
+            match effect {
+                Effect::Say(to, msg) if self.stores.contains_key(&to) => {
+                    self.queue.push_back((to, Event::Hear { from: from.clone(), msg }));
+                }
+                Effect::Say(_, Msg::Carried { ask, word, .. }) => _ = self.told.insert(ask, word),
+                Effect::Say(_, Msg::Peeked { found, .. }) => self.shown = Some(found),
+                Effect::Say(to, Msg::Noted { all }) => {
+                    self.noted.extend(all.into_iter().map(|(_, _, attempt)| (to.clone(), attempt)));
+                }
+                Effect::Say(to, Msg::Need { asked, report: Some(report), .. }) => {
+                    let given = report.gave.iter().any(|(_, epoch)| epoch.count == self.epoch);
+                    self.reports.insert(from.clone(), report);
+                    if given {
+                        self.epoch += 1;
+                        self.keeper = (1..=3).find(|n| self.fit(*n)).unwrap_or(self.keeper);
+                    }
+                    let msg = self.news(asked, from);
+                    self.queue.push_back((from.clone(), Event::Hear { from: to, msg }));
+                }
+                Effect::Save { n, .. } => match &mut self.disks.get_mut(from).unwrap().waiting {
+                    Some(waiting) => waiting.push(n),
+                    None => self.queue.push_back((from.clone(), Event::Saved(n))),
+                },
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether placement would grant to it.
+    pub fn fit(&self, n: u64) -> bool {
+        self.reports.get(&store(n)).is_some_and(|report| !report.leaving)
+    }
+
+    pub fn settle(&mut self) {
+        while self.settle_one() {}
+    }
+
+    /// Hands over one event; one that is for a store that is gone is lost.
+    pub fn settle_one(&mut self) -> bool {
+        let Some((to, event)) = self.queue.pop_front() else { return false };
+        let Some(store) = self.stores.get_mut(&to) else { return true };
+        let out = store.step(event, self.now);
+        self.obey(&to, out);
+        true
+    }
+
+    pub fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.settle();
+            self.now += STEP;
+            for n in 1..=3 {
+                self.queue.push_back((store(n), Event::Clock));
+            }
+        }
+        self.settle();
+    }
+
+    pub fn carry(&mut self, ask: u64, to: u64) {
+        let body = Bytes::from(format!("body of {ask}"));
+        let head = Head {
+            id: MessageId(format!("m{ask}")),
+            key: String::new(),
+            seq: 0,
+            crc: crc32(&body),
+            len: body.len() as u32,
+            desk: String::new(),
+            ttl: None,
+            route: String::new(),
+            parcel: None,
+            born: 0,
+            delay: Span::ZERO,
+            seal: String::new(),
+        };
+        let reading = Some(Reading { life: Mark(1), at: self.now });
+        let msg = Msg::Carry {
+            ask,
+            proxy: daemon("proxy-1"),
+            via: None,
+            again: false,
+            place: place(),
+            version: Version { term: TERM, count: 1 },
+            head,
+            body,
+            stamp: Some(Stamp { reading, age: Span::ZERO }),
+            refuse: None,
+        };
+        self.queue.push_back((store(to), Event::Hear { from: daemon("proxy-1"), msg }));
+        self.settle();
+    }
+
+    pub fn accepted(&self, ask: u64) -> bool {
+        matches!(self.told.get(&ask), Some(Carried::Accepted { .. }))
+    }
+}
