--- a/crates/waitlist/src/store/attempt_ends.rs
+++ b/crates/waitlist/src/store/attempt_ends.rs
@@ -19,6 +19,24 @@
         }
     }
 
+    /// Whether a record that was taken out of a line may be handed out: for
+    /// work while its work is not over, for a call-back while one is owed. Any
+    /// other must stand in no line.
+    pub(super) fn may_hand_out(&mut self, place: &Place, id: &MessageId, call_back: bool) -> bool {
+        let stage = self.parts.get(place).and_then(|p| p.recs.get(id)).map(|r| r.stage);
+        let fits = match stage {
+            Some(Stage::Work) => !call_back,
+            Some(Stage::Calling | Stage::Owing(_)) => call_back,
+            Some(Stage::Ended(_)) | None => false,
+        };
+        if fits {
+            return true;
+        }
+        self.counts.ended_handed_out += 1;
+        self.note(Note::EndedHandedOut, format!("{place} {id}"));
+        false
+    }
+
     /// Judges a success of an attempt that is not under way here.
     pub(super) fn judge_success(&mut self, from: &Daemon, told: &Settled, now: Time) {
         let Some(p) = self.parts.get_mut(&told.place) else { return };
--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -227,6 +227,10 @@
                 self.settle_won(place, &id, now);
                 continue;
             }
+            if !self.may_hand_out(place, &id, call) {
+                continue;
+            }
+            let r = self.parts.get(place)?.recs.get(&id)?;
             if !call && worth.is_some_and(|w| now.since(r.taken) > w) {
                 let next = ended(r, Outcome::Expired);
                 self.stage(place, &id, next, None, now);
--- a/crates/waitlist/tests/lane.rs
+++ b/crates/waitlist/tests/lane.rs
@@ -28,3 +28,28 @@
     assert_eq!(lane.ready(NOW, 100), 3);
     assert_eq!(lane.ready(NOW, 1), 2);
 }
+
+/// The next of a key ended between its success and its commit, when the first
+/// one's call-back ended too: it stood in no line and was put back into one.
+#[test]
+fn a_record_that_leaves_twice_lets_the_next_of_its_key_in_once() {
+    let head = |seq: u64| Head {
+        id: MessageId(format!("m{seq}")),
+        key: "k".into(),
+        route: "turns".into(),
+        desk: "10.0.0.1:80".into(),
+        seq,
+        ..Head::default()
+    };
+    let mut lane = Lane { ordered: true, ..Lane::default() };
+    lane.enter(&head(1), Stage::Work, NOW);
+    lane.enter(&head(2), Stage::Work, NOW);
+    lane.leave_work(&head(1), NOW);
+    assert_eq!(lane.posts["turns"].when(2), Some(NOW));
+    // Handed out, and its end is applied but not yet on two stores.
+    lane.posts.get_mut("turns").unwrap().take(2);
+    lane.leave_work(&head(1), NOW);
+    assert_eq!(lane.posts["turns"].when(2), None);
+    lane.leave_work(&head(2), NOW);
+    assert!(lane.keys.is_empty());
+}
