An attempt lasts no longer than its keeper counts on

A delivery with a newer charter that gives a route longer attempts could run on beyond the keeper's end, when the message is handed out again.

The offer now carries the keeper's limit, and the delivery takes the shorter of it and its own charter's.

--- a/crates/delivery/src/run/posts.rs
+++ b/crates/delivery/src/run/posts.rs
@@ -59,10 +59,11 @@
     /// How long one attempt of a routed message may last; zero when its route
     /// is not in force.
     fn span_of(&self, o: &Offer) -> Span {
-        match o.stage {
+        let by_charter = match o.stage {
             Stage::Work => self.link.rules.routes.get(&o.head.route).map_or(Span::ZERO, |r| r.attempt),
             _ => CALL,
-        }
+        };
+        o.limited(by_charter)
     }
 
     /// Whether something is open under a duty of reach.
--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -270,7 +270,17 @@
             };
             own.lane.flights.insert(seq, flight);
             let place = place.clone();
-            return Some(Offer { duty, place, head, stage, epoch, attempt: attempt_id, body, goal: Some(goal.clone()) });
+            return Some(Offer {
+                duty,
+                place,
+                head,
+                stage,
+                epoch,
+                attempt: attempt_id,
+                body,
+                goal: Some(goal.clone()),
+                limit: attempt,
+            });
         }
     }
 
