Soak: real processes under troubles drawn from a seed, with the invariants on

--soak SEED of dahliawick-fleet draws kills, planned ends, pauses, cuts, lost answers and crashed workers, two or three at a time, and prints them as words to play again.

--- /dev/null
+++ b/programs/src/fleet/soak.rs
@@ -0,0 +1,89 @@
+//! Troubles for a soak, drawn from a seed: kills, planned ends, pauses, cuts
+//! and lost answers, two or three of them at a time.
+use crate::fleet::prelude::*;
+use std::ops::Range;
+
+/// The daemons and workers that troubles are drawn from.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    pub daemons: Vec<String>,
+    pub workers: Vec<String>,
+}
+
+/// Traffic alone comes first, and again at the end.
+const CALM_BEFORE: f64 = 3.0;
+const CALM_AFTER: f64 = 6.0;
+/// Between the beginnings of two troubles: so two or three overlap.
+const BETWEEN: Range<f64> = 0.8..2.5;
+const LASTS: Range<f64> = 1.0..5.0;
+const ZONES: [&str; 3] = ["z1", "z2", "z3"];
+
+/// Draws troubles for so many seconds of load. Of one daemon or worker no two
+/// overlap, and neither do two cuts.
+pub fn draw(seed: u64, seconds: u64, targets: &Targets) -> Vec<Fault> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut busy: Map<String, f64> = Map::new();
+    let mut faults = Vec::new();
+    let mut at = CALM_BEFORE;
+    let last = seconds as f64 - CALM_AFTER;
+    while at < last {
+        let lasts = within(&mut rng, LASTS).min(last - at + 1.0);
+        let (verb, who) = one(&mut rng, targets);
+        let resource = if verb == Verb::Cut || verb == Verb::CutOne { "zones".to_string() } else { who.clone() };
+        if busy.get(&resource).is_none_or(|until| *until < at) {
+            busy.insert(resource, at + lasts + 1.0);
+            faults.push(Fault { verb, who, at, back: Some(lasts) });
+        }
+        at += within(&mut rng, BETWEEN);
+    }
+    faults
+}
+
+fn within(rng: &mut fastrand::Rng, range: Range<f64>) -> f64 {
+    range.start + rng.f64() * (range.end - range.start)
+}
+
+/// A trouble and whom it strikes.
+fn one(rng: &mut fastrand::Rng, targets: &Targets) -> (Verb, String) {
+    let kinds =
+        [Verb::Kill, Verb::Kill, Verb::Term, Verb::Freeze, Verb::Freeze, Verb::Lose, Verb::Crash, Verb::Cut, Verb::CutOne];
+    let verb = kinds[rng.usize(..kinds.len())];
+    let who = match verb {
+        Verb::Cut | Verb::CutOne => {
+            let from = rng.usize(..ZONES.len());
+            let to = (from + 1 + rng.usize(..ZONES.len() - 1)) % ZONES.len();
+            format!("{}/{}", ZONES[from], ZONES[to])
+        }
+        Verb::Lose | Verb::Crash => targets.workers[rng.usize(..targets.workers.len())].clone(),
+        _ => targets.daemons[rng.usize(..targets.daemons.len())].clone(),
+    };
+    (verb, who)
+}
+
+/// The troubles as the words that `--faults` takes, to play them again.
+pub fn words(faults: &[Fault]) -> String {
+    let one = |fault: &Fault| {
+        let verb = format!("{:?}", fault.verb).to_lowercase();
+        let back = fault.back.map(|back| format!("+{back:.2}")).unwrap_or_default();
+        format!("{verb}:{}@{:.2}{back}", fault.who, fault.at)
+    };
+    faults.iter().map(one).collect::<Vec<_>>().join(",")
+}
+
+/// What the daemons' logs tell of their own invariants: each line of an event
+/// that is always a fault.
+pub fn violations(folder: &Path) -> std::io::Result<Vec<String>> {
+    let events = [Note::AttemptOutlived, Note::EndedHandedOut].map(|note| format!(" {} {}", note.number(), note.what()));
+    let mut found = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_none_or(|extension| extension != "log") {
+            continue;
+        }
+        let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+        let text = String::from_utf8_lossy(&std::fs::read(&path)?).into_owned();
+        let told = |line: &&str| events.iter().any(|event| line.contains(event));
+        found.extend(text.lines().filter(told).map(|line| format!("invariant: {name}: {line}")));
+    }
+    Ok(found)
+}
