--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -8,12 +8,16 @@
 /// Invariant: of one delivery only the newest word counts.
 pub struct Taking {
     life: Mark,
+    /// Lives that it had before: a late word of one says nothing.
+    earlier_lives: Vec<Mark>,
     asked: Time,
     at: Time,
     services: BTreeMap<String, u32>,
     addresses: BTreeSet<Duty>,
 }
 
+/// Of each delivery; a word of one before these comes hours late.
+const LIVES_REMEMBERED: usize = 16;
 /// A word older than this is no longer acted on.
 const WORD: Span = Span::millis(1200);
 /// How long a delivery may hold a message before it begins a run of it.
@@ -65,16 +69,20 @@
         now: Time,
     ) {
         let old = self.taking.get(from);
-        if old.is_some_and(|t| t.life == reach.life && t.asked > asked) {
+        let overtaken = |t: &Taking| t.life == reach.life && t.asked > asked;
+        if old.is_some_and(|t| overtaken(t) || t.earlier_lives.contains(&reach.life)) {
             return;
         }
         self.stirred = true;
-        if old.is_some_and(|t| t.life != reach.life) {
+        let mut earlier_lives = old.map(|t| t.earlier_lives.clone()).unwrap_or_default();
+        if let Some(life) = old.map(|t| t.life).filter(|life| *life != reach.life) {
+            earlier_lives.push(life);
+            earlier_lives.drain(..earlier_lives.len().saturating_sub(LIVES_REMEMBERED));
             self.life_over(from, reach.life, now);
         }
         let services = reach.services.into_iter().collect();
         let addresses = reach.addresses.into_iter().collect();
-        self.taking.insert(from.clone(), Taking { life: reach.life, asked, at: now, services, addresses });
+        self.taking.insert(from.clone(), Taking { life: reach.life, earlier_lives, asked, at: now, services, addresses });
         self.vouch(from, places, holding, now);
     }
 
--- a/crates/waitlist/tests/hand_over.rs
+++ b/crates/waitlist/tests/hand_over.rs
@@ -94,3 +94,36 @@
     tell_success(&mut fleet, 3);
     assert_eq!(fleet.noted.len(), 2);
 }
+
+/// Store 1 hears what a delivery takes of the partition.
+fn room(fleet: &mut Fleet, room: u32) {
+    let epoch = Epoch { term: TERM, count: 1 };
+    let duties = vec![Room { duty: Duty::Deliver(place()), epoch, room, since: Span::ZERO }];
+    let places = vec![(place(), epoch)];
+    let msg = Msg::Room { asked: fleet.now, duties, places, holding: Vec::new(), reach: None };
+    fleet.queue.push_back((store(1), Event::Hear { from: daemon("delivery-1"), msg }));
+    fleet.settle();
+}
+
+/// A success that is told after its attempt was taken for over: the message
+/// waits for its next try, and that was begun in the very step that took the
+/// success in.
+#[test]
+fn a_success_told_after_the_attempts_end_takes_the_message_out_of_its_line() {
+    let mut fleet = Fleet::new();
+    fleet.carry(1, 1);
+    room(&mut fleet, 1);
+    assert_eq!(fleet.offers.len(), 1);
+    while fleet.stores[&store(1)].counts.lapsed == 0 {
+        fleet.run(Span::millis(20));
+        assert!(fleet.now < Time(30_000_000), "it never lapses");
+    }
+    room(&mut fleet, 1);
+    assert_eq!(fleet.offers.len(), 1, "it does not wait for its next try");
+    // Due by now; nothing was handed out in between.
+    fleet.now += Span::millis(400);
+    tell_success(&mut fleet, 1);
+    assert_eq!(fleet.offers.len(), 1);
+    assert_eq!(fleet.stores[&store(1)].counts.ended_handed_out, 0);
+    assert_eq!(stage_at(&fleet, 1), Stage::Ended(Outcome::Succeeded));
+}
--- a/crates/waitlist/tests/trio/mod.rs
+++ b/crates/waitlist/tests/trio/mod.rs
@@ -40,6 +40,8 @@
     pub keeper: u64,
     /// Attempts noted to deliveries.
     pub noted: Vec<(Daemon, u64)>,
+    /// Attempts handed out.
+    pub offers: Vec<Offer>,
     /// What a seeker was last shown.
     pub shown: Option<Found>,
     /// Told to the proxy, by ask.
@@ -59,6 +61,7 @@
             epoch: 1,
             keeper: 1,
             noted: Vec::new(),
+            offers: Vec::new(),
             shown: None,
             told: BTreeMap::new(),
             reports: BTreeMap::new(),
@@ -118,6 +121,7 @@
                     self.queue.push_back((to, Event::Hear { from: from.clone(), msg }));
                 }
                 Effect::Say(_, Msg::Carried { ask, word, .. }) => _ = self.told.insert(ask, word),
+                Effect::Say(_, Msg::Offers { all, .. }) => self.offers.extend(all),
                 Effect::Say(_, Msg::Peeked { found, .. }) => self.shown = Some(found),
                 Effect::Say(to, Msg::Noted { all }) => {
                     self.noted.extend(all.into_iter().map(|(_, _, attempt)| (to.clone(), attempt)));
