--- a/crates/delivery/src/run/posts.rs
+++ b/crates/delivery/src/run/posts.rs
@@ -305,7 +305,7 @@
         let end = match &reply {
             Reply::Ran { end, .. } => end.clone(),
             Reply::Lost(Sent::No) => RunEnd::NotRun { gone: false },
-            _ => RunEnd::Doubt,
+            _ => RunEnd::Doubt(DoubtCause::Lost),
         };
         match &at {
             Aim::Worker(w) => self.hear_post_worker(w, &reply, &end, now),
@@ -315,11 +315,21 @@
             RunEnd::Done(seal) => self.finish_sealed(&id, Told::Success, seal, now),
             RunEnd::Failed => self.finish(&id, Told::Failed, now),
             RunEnd::Never => self.finish(&id, Told::Never, now),
-            RunEnd::Doubt => self.finish(&id, Told::Doubt, now),
+            RunEnd::Doubt(cause) => {
+                self.note_doubt(&id, &at, cause);
+                self.finish(&id, Told::Doubt, now);
+            }
             RunEnd::NotRun { .. } => self.again(id, now),
         }
     }
 
+    fn note_doubt(&mut self, id: &HandId, at: &Aim, cause: DoubtCause) {
+        let Some(hand) = self.hands.get(id) else { return };
+        let (place, head, attempt) = (&hand.offer.place, &hand.offer.head, hand.offer.attempt);
+        let text = format!("{place} {} attempt {attempt} at {at}: {cause}", head.id);
+        self.out.push(Effect::Note(Note::AttemptInDoubt, text));
+    }
+
     /// It did not run: another worker may take it at once.
     fn again(&mut self, id: HandId, now: Time) {
         let Some(h) = self.hands.get(&id) else { return };
@@ -347,7 +357,7 @@
                     note = Some((Note::WorkerEjected, format!("{id} can't be reached")));
                 }
             }
-            (_, RunEnd::Doubt) => {
+            (_, RunEnd::Doubt(_)) => {
                 if f.sick.fail(now) {
                     note = Some((Note::WorkerEjected, id.to_string()));
                 }
@@ -375,7 +385,7 @@
         if let Reply::Ran { load: Some(l), .. } = reply {
             s.slots = l.slots;
         }
-        let lost = *end == RunEnd::Doubt || matches!(reply, Reply::Lost(_));
+        let lost = matches!(end, RunEnd::Doubt(_)) || matches!(reply, Reply::Lost(_));
         let note = match end {
             _ if lost => s.breaker.fail(now).then_some(Note::BreakerOpen),
             RunEnd::NotRun { .. } => {
--- a/crates/shell/src/guard.rs
+++ b/crates/shell/src/guard.rs
@@ -16,6 +16,8 @@
     end: AtomicU64,
     /// Some of it was written.
     written: AtomicBool,
+    /// Bytes of its answer that were read.
+    read: AtomicU64,
 }
 
 impl Exchange {
@@ -23,6 +25,12 @@
     pub fn begin(&self, end: Time) {
         self.end.store(end.0, Ordering::Relaxed);
         self.written.store(false, Ordering::Relaxed);
+        self.read.store(0, Ordering::Relaxed);
+    }
+
+    /// How many bytes came back since it began.
+    pub fn read(&self) -> u64 {
+        self.read.load(Ordering::Relaxed)
     }
 
     /// Whether bytes of the request may have reached the other side.
@@ -75,7 +83,11 @@
 
 impl AsyncRead for GuardedStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let count = buf.filled().len() - before;
+        self.exchange.read.fetch_add(count as u64, Ordering::Relaxed);
+        polled
     }
 }
 
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -31,12 +31,21 @@
 type Out = http::Request<Full<Bytes>>;
 
 /// Why there is no response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
     /// No byte of the request was written.
     Unsent,
     /// It may have been received.
-    Lost,
+    Lost(Loss),
+}
+
+/// How far an exchange came whose answer did not come in whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loss {
+    /// Bytes of the answer that were read.
+    pub read: u64,
+    /// Why there were no more.
+    pub why: String,
 }
 
 /// One connection. Invariant: it moves only while somebody asks over it or
@@ -66,7 +75,10 @@
     pub async fn ask(&mut self, request: Out, end: Time) -> Result<Response, Failure> {
         self.exchange.begin(end);
         let response = self.exchanged(request).await;
-        let response = response.ok_or(if self.written() { Failure::Lost } else { Failure::Unsent })?;
+        let response = response.map_err(|why| match self.written() {
+            true => Failure::Lost(self.loss(why)),
+            false => Failure::Unsent,
+        })?;
         if let Some(said) = keep_alive(&response) {
             self.quiet = (said - AHEAD).min(KEPT);
         }
@@ -78,13 +90,19 @@
         self.exchange.written()
     }
 
-    /// The whole response; none when there is not one.
-    async fn exchanged(&mut self, request: Out) -> Option<Response> {
+    /// How far the last request came, and why no further.
+    pub fn loss(&self, why: String) -> Loss {
+        Loss { read: self.exchange.read(), why }
+    }
+
+    /// The whole response, or why there is none.
+    async fn exchanged(&mut self, request: Out) -> Result<Response, String> {
         let sent = self.sender.try_send_request(request);
         let mut asked = pin!(async move {
-            let (head, body) = sent.await.ok()?.into_parts();
-            let body = Limited::new(body, RESPONSE_MAX).collect().await.ok()?;
-            Some(Response::from_parts(head, body.to_bytes()))
+            let sent = sent.await.map_err(|e| described(e.error()))?;
+            let (head, body) = sent.into_parts();
+            let body = Limited::new(body, RESPONSE_MAX).collect().await.map_err(|e| described(&*e))?;
+            Ok(Response::from_parts(head, body.to_bytes()))
         });
         let (work, over) = (&mut self.work, &mut self.over);
         poll_fn(|cx| {
@@ -106,6 +124,13 @@
     }
 }
 
+/// An error with all its causes.
+fn described(error: &(dyn std::error::Error + 'static)) -> String {
+    let causes = std::iter::successors(Some(error), |e| e.source());
+    let texts: Vec<String> = causes.map(|e| e.to_string()).collect();
+    texts.join(": ")
+}
+
 /// No waiting for more bytes, no waiting for a silent machine.
 pub fn tune(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
--- a/crates/sim/src/world/running.rs
+++ b/crates/sim/src/world/running.rs
@@ -97,7 +97,7 @@
             Some(p) if back.state != State::Waiting => p.backs.push(back),
             _ => self.seen.flag(format!("backs: {desk} was told {:?} of {}", back.state, parcel.id)),
         }
-        let end = if good { RunEnd::Done(String::new()) } else { RunEnd::Doubt };
+        let end = if good { RunEnd::Done(String::new()) } else { RunEnd::Doubt(DoubtCause::Status(503)) };
         self.soon(took, Ev::Routed(Turn::Received(desk.to_string())));
         let reply = Reply::Ran { end, load: None };
         self.soon(took, Ev::Back { node: node.clone(), life, id, reply });
@@ -263,7 +263,7 @@
             Over::Done(seal) => RunEnd::Done(seal),
             Over::Failed => RunEnd::Failed,
             Over::Never => RunEnd::Never,
-            Over::Dropped => RunEnd::Doubt,
+            Over::Dropped => RunEnd::Doubt(DoubtCause::Status(504)),
         };
         let lost = self.rng.u64(..100) < self.floor.spell(&toil.worker).lose;
         if heard && !lost && self.net.open(&toil.worker, toil.node.as_str()) {
