A message in doubt again and again waits longer and longer

By the users' rules a doubt is no failed attempt, so it counts towards no bound. The pause doubles with each doubt of a message, up to 5 s; the first is as it was. Counted by the present keeper only.

--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -34,6 +34,7 @@
 const FAILED_PAUSE: Span = Span::millis(60);
 const FAILED_PAUSE_MAX: Span = Span::secs(2);
 const DOUBT_PAUSE: Span = Span::millis(120);
+const DOUBT_PAUSE_MAX: Span = Span::secs(5);
 const UNSTARTED_PAUSE: Span = Span::millis(40);
 /// So many bodies are read back for one line at once.
 const LATER_MAX: u32 = 16;
@@ -341,7 +342,13 @@
                 let pause = match told {
                     Told::Failed => double(FAILED_PAUSE, r.tries - 1, FAILED_PAUSE_MAX),
                     Told::Unstarted => UNSTARTED_PAUSE,
-                    _ => DOUBT_PAUSE,
+                    // A run that always goes past its time must not take a
+                    // worker's slot again and again.
+                    _ => {
+                        let pause = Span((DOUBT_PAUSE.0 << r.doubts.min(12)).min(DOUBT_PAUSE_MAX.0));
+                        r.doubts += 1;
+                        pause
+                    }
                 };
                 let route = r.head.route.clone();
                 own.lane.post(&route, now + pause, seq);
