A run's own answer is read behind answers to other messages

A worker's late second answer to an earlier message, read while the next message runs over the same connection, was taken for that one's: a doubt, though its own success came in, at times in the same bytes. 120 ms later it ran again. docs/control-state named this window as not held. The shell asks its words whether a response is another call's and reads on, over the same socket, until the call's limit. Such a connection carries no other request.

--- a/crates/shell/src/guard.rs
+++ b/crates/shell/src/guard.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -48,11 +48,59 @@
 pub struct GuardedStream {
     stream: TcpStream,
     exchange: Arc<Exchange>,
+    /// Bytes read earlier that are still to be given out.
+    unread: Bytes,
+    mode: Mode,
+}
+
+/// What is done with reads and writes.
+enum Mode {
+    Open,
+    /// What is written is dropped: it was sent before. Nothing is read until
+    /// then, for the HTTP library takes what comes sooner for an error.
+    ReadOnly {
+        sent: bool,
+        reader: Option<Waker>,
+    },
 }
 
 impl GuardedStream {
     pub fn new(stream: TcpStream, exchange: Arc<Exchange>) -> GuardedStream {
-        GuardedStream { stream, exchange }
+        GuardedStream { stream, exchange, unread: Bytes::new(), mode: Mode::Open }
+    }
+
+    /// The same stream, of which only the answers that still come are wanted;
+    /// `unread` was read from it and not used.
+    pub fn into_read_only(self, unread: Bytes) -> GuardedStream {
+        GuardedStream { unread, mode: Mode::ReadOnly { sent: false, reader: None }, ..self }
+    }
+
+    /// Drops what is to be written; false when it has to be written.
+    fn drops_write(&mut self) -> bool {
+        let Mode::ReadOnly { sent, reader } = &mut self.mode else { return false };
+        *sent = true;
+        if let Some(reader) = reader.take() {
+            reader.wake();
+        }
+        true
+    }
+
+    /// Whether nothing may be read yet; the reader is woken then.
+    fn holds_reader(&mut self, cx: &Context<'_>) -> bool {
+        match &mut self.mode {
+            Mode::ReadOnly { sent: false, reader } => {
+                *reader = Some(cx.waker().clone());
+                true
+            }
+            Mode::ReadOnly { sent: true, .. } | Mode::Open => false,
+        }
+    }
+
+    /// Gives out bytes that were read earlier; false when there are none.
+    fn give_unread(&mut self, buf: &mut ReadBuf<'_>) -> bool {
+        let count = self.unread.len().min(buf.remaining());
+        buf.put_slice(&self.unread.split_to(count));
+        count > 0
     }
 
     /// Whether the next bytes may be written.
@@ -83,6 +131,12 @@
 
 impl AsyncRead for GuardedStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if self.holds_reader(cx) {
+            return Poll::Pending;
+        }
+        if self.give_unread(buf) {
+            return Poll::Ready(Ok(()));
+        }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let count = buf.filled().len() - before;
@@ -93,6 +147,9 @@
 
 impl AsyncWrite for GuardedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.drops_write() {
+            return Poll::Ready(Ok(buf.len()));
+        }
         self.check()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.note(&written);
@@ -100,6 +157,9 @@
     }
 
     fn poll_write_vectored(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>]) -> Poll<io::Result<usize>> {
+        if self.drops_write() {
+            return Poll::Ready(Ok(bufs.iter().map(|b| b.len()).sum()));
+        }
         self.check()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.note(&written);
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -2,14 +2,14 @@
 use crate::guard::{Exchange, GuardedStream};
 use crate::prelude::*;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{handshake, Connection as Driver, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::sync::Mutex;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -52,9 +52,14 @@
 /// looks whether it is fit, so a quiet one wakes nobody.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    work: Pin<Box<dyn Future<Output = ()> + Send>>,
+    /// Moves the bytes. Invariant: there, but for the moment in which another
+    /// takes its place.
+    driver: Option<Driver<TokioIo<GuardedStream>, Full<Bytes>>>,
     exchange: Arc<Exchange>,
+    /// Its driver has ended.
     over: bool,
+    /// No other request may be sent.
+    read_only: bool,
     /// Closed here when it is quiet for so long.
     quiet: Span,
 }
@@ -65,26 +70,41 @@
         tune(&stream);
         let exchange = Arc::new(Exchange::default());
         let stream = GuardedStream::new(stream, exchange.clone());
-        let (sender, work) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-        let work = Box::pin(async move { drop(work.await) });
-        Ok(Connection { sender, work, exchange, over: false, quiet: QUIET - AHEAD })
+        let (sender, driver) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        Ok(Connection { sender, driver: Some(driver), exchange, over: false, read_only: false, quiet: QUIET - AHEAD })
     }
 
     /// Sends a request, no byte of it at `end` or later, and reads the whole
     /// response.
     pub async fn ask(&mut self, request: Out, end: Time) -> Result<Response, Failure> {
         self.exchange.begin(end);
-        let response = self.exchanged(request).await;
-        let response = response.map_err(|why| match self.written() {
-            true => Failure::Lost(self.loss(why)),
-            false => Failure::Unsent,
-        })?;
+        let response = self.exchanged(request).await.map_err(|why| self.failure(why))?;
         if let Some(said) = keep_alive(&response) {
             self.quiet = (said - AHEAD).min(KEPT);
         }
         Ok(response)
     }
 
+    /// Reads the next response after one that was another request's. No other
+    /// request may be sent over the connection then; `request` is the one that
+    /// was sent, and is not sent again.
+    pub async fn read_on(&mut self, request: Out) -> Result<Response, Failure> {
+        self.read_only = true;
+        let Some(driver) = self.driver.take() else { return Err(self.failure("it ended behind another's answer".into())) };
+        let parts = driver.into_parts();
+        let stream = parts.io.into_inner().into_read_only(parts.read_buf);
+        let (sender, driver) = handshake(TokioIo::new(stream)).await.map_err(|e| self.failure(described(&e)))?;
+        (self.sender, self.driver, self.over) = (sender, Some(driver), false);
+        self.exchanged(request).await.map_err(|why| self.failure(why))
+    }
+
+    fn failure(&self, why: String) -> Failure {
+        match self.written() {
+            true => Failure::Lost(self.loss(why)),
+            false => Failure::Unsent,
+        }
+    }
+
     /// Whether bytes of the last request may have been received.
     pub fn written(&self) -> bool {
         self.exchange.written()
@@ -104,11 +124,9 @@
             let body = Limited::new(body, RESPONSE_MAX).collect().await.map_err(|e| described(&*e))?;
             Ok(Response::from_parts(head, body.to_bytes()))
         });
-        let (work, over) = (&mut self.work, &mut self.over);
+        let (driver, over) = (&mut self.driver, &mut self.over);
         poll_fn(|cx| {
-            if !*over && work.as_mut().poll(cx).is_ready() {
-                *over = true;
-            }
+            drive(driver, over, cx);
             asked.as_mut().poll(cx)
         })
         .await
@@ -117,13 +135,18 @@
     /// Whether another request may be sent; notices what came meanwhile.
     fn fit(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
-        if !self.over && self.work.as_mut().poll(&mut cx) != Poll::Pending {
-            self.over = true;
-        }
-        !self.over && self.sender.is_ready()
+        drive(&mut self.driver, &mut self.over, &mut cx);
+        !self.over && !self.read_only && self.sender.is_ready()
     }
 }
 
+/// Moves the bytes of a connection that has not ended. Its socket stays open
+/// then: bytes may wait that were read and not understood.
+fn drive(driver: &mut Option<Driver<TokioIo<GuardedStream>, Full<Bytes>>>, over: &mut bool, cx: &mut Context<'_>) {
+    let Some(driver) = driver.as_mut().filter(|_| !*over) else { return };
+    *over = driver.poll_without_shutdown(cx).is_ready();
+}
+
 /// An error with all its causes.
 fn described(error: &(dyn std::error::Error + 'static)) -> String {
     let causes = std::iter::successors(Some(error), |e| e.source());
--- a/crates/shell/src/speech.rs
+++ b/crates/shell/src/speech.rs
@@ -37,6 +37,11 @@
     /// address. `Err` is the reply to a call that can't be put into words.
     fn request(&self, call: &Call) -> Result<Request, Reply>;
     fn reply(&self, call: &Call, response: Response) -> Meant;
+    /// Whether a response says that it is for another call. The call's own may
+    /// still come after it.
+    fn is_anothers(&self, _call: &Call, _response: &Response) -> bool {
+        false
+    }
     /// Whether the call may go over a connection that carried, or will carry,
     /// others. Not, when nothing in an answer tells whose it is and a wrong
     /// one does harm.
