--- a/crates/shell/tests/wires.rs
+++ b/crates/shell/tests/wires.rs
@@ -85,3 +85,35 @@
         assert_eq!(told.await.unwrap(), Ok(Event::Cut(sibling.clone())));
     }
 }
+
+const BIG: usize = 256 << 10;
+
+/// Reads one big frame in small pieces, as a busy sibling does.
+async fn expect_big(stream: &mut TcpStream, n: u8) -> std::io::Result<()> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await?;
+    assert_eq!(u32::from_be_bytes(length) as usize, BIG);
+    let mut frame = vec![0; BIG];
+    for piece in frame.chunks_mut(BIG / 8) {
+        stream.read_exact(piece).await?;
+        tokio::time::sleep(Duration::from_millis(6)).await;
+    }
+    assert!(frame.iter().all(|b| *b == n));
+    Ok(())
+}
+
+/// Incident LOST: a line over which a whole copy went was broken each two
+/// seconds, as its frames never ceased; what was under way was lost each time,
+/// and the copy was never done.
+#[tokio::test]
+async fn a_line_that_moves_on_is_not_broken_however_much_is_to_be_written() {
+    const FRAMES: u8 = 60;
+    let mut pair = Pair::new();
+    for n in 0..FRAMES {
+        pair.lines.write(pair.sibling.clone(), vec![n; BIG]);
+    }
+    let mut stream = pair.accept().await;
+    for n in 0..FRAMES {
+        timeout(LONG, expect_big(&mut stream, n)).await.expect("nothing came").expect("the line was broken");
+    }
+}
