--- a/crates/shell/tests/wires.rs
+++ b/crates/shell/tests/wires.rs
@@ -1,6 +1,6 @@
 //! Lines to siblings that go away and come back.
 use dw_shell::prelude::*;
-use dw_shell::wires::{bind, Lines};
+use dw_shell::wires::{bind, Lines, Wires};
 use std::net::TcpListener;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -11,6 +11,7 @@
 
 /// Lines of one daemon, and the sibling that they lead to.
 struct Pair {
+    wires: Arc<Wires>,
     lines: Lines,
     sibling: Daemon,
     listener: tokio::net::TcpListener,
@@ -28,7 +29,7 @@
         wires.learn(&sibling, &listener.local_addr().unwrap().to_string());
         let listener = tokio::net::TcpListener::from_std(listener).unwrap();
         let (ring, heard) = crossbeam_channel::bounded(16);
-        Pair { lines: Lines::new(wires, ring), sibling, listener, heard }
+        Pair { lines: Lines::new(wires.clone(), ring), wires, sibling, listener, heard }
     }
 
     fn write(&mut self, n: u8) {
@@ -117,3 +118,18 @@
         timeout(LONG, expect_big(&mut stream, n)).await.expect("nothing came").expect("the line was broken");
     }
 }
+
+/// What waits for a sibling that reads nothing is bounded in bytes too: whole
+/// copies would fill the memory long before the count of frames does.
+#[tokio::test]
+async fn what_waits_for_a_line_is_bounded_in_bytes() {
+    let mut pair = Pair::new();
+    for n in 0..64 {
+        pair.lines.write(pair.sibling.clone(), vec![n; 1 << 20]);
+    }
+    assert_eq!(pair.wires.dropped.load(std::sync::atomic::Ordering::Relaxed), 48);
+    let mut stream = pair.accept().await;
+    let mut length = [0; 4];
+    timeout(LONG, stream.read_exact(&mut length)).await.expect("nothing came").unwrap();
+    assert_eq!(u32::from_be_bytes(length), 1 << 20);
+}
