--- a/crates/waitlist/tests/pair/mod.rs
+++ b/crates/waitlist/tests/pair/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 use crate::settings::*;
 use dw_waitlist::prelude::*;
+use std::collections::BTreeMap;
 
 pub const NOW: Time = Time::millis(10_000);
 pub const FIRST: Mark = Mark(7);
@@ -25,6 +26,12 @@
     pub now: Time,
     pub stores: [Store; 2],
     pub offers: Vec<Offer>,
+    /// Told to the proxy.
+    pub told: Vec<Carried>,
+    /// Bodies that a store asked a replica outside of the pair for.
+    pub wanted: Vec<MessageId>,
+    /// What each store saved.
+    pub files: [BTreeMap<String, Bytes>; 2],
 }
 
 impl Pair {
@@ -33,7 +40,14 @@
             let me = Member { disk: Mark(n), ..member(&format!("store-{n}"), &format!("z{n}")) };
             Store::new(startup(me), &Vec::new(), Mark(n), NOW).0
         };
-        let mut pair = Pair { now: NOW, stores: [store(1), store(2)], offers: Vec::new() };
+        let mut pair = Pair {
+            now: NOW,
+            stores: [store(1), store(2)],
+            offers: Vec::new(),
+            told: Vec::new(),
+            wanted: Vec::new(),
+            files: Default::default(),
+        };
         for at in [0, 1] {
             pair.step(at, Event::Saved(1));
         }
@@ -45,8 +59,13 @@
         let out = self.stores[at].step(event, self.now);
         for effect in out {
             match effect {
-                Effect::Save { n, .. } => self.step(at, Event::Saved(n)),
-                Effect::Say(to, msg) if to.as_str().starts_with("store-") => {
+                Effect::Save { n, name, bytes } => {
+                    self.files[at].insert(name, bytes);
+                    self.step(at, Event::Saved(n));
+                }
+                Effect::Say(_, Msg::Want { ids, .. }) => self.wanted.extend(ids),
+                Effect::Say(_, Msg::Carried { word, .. }) => self.told.push(word),
+                Effect::Say(to, msg) if to == daemon(&format!("store-{}", 2 - at)) => {
                     let from = daemon(&format!("store-{}", at + 1));
                     self.step(1 - at, Event::Hear { from, msg });
                 }
@@ -86,7 +105,8 @@
         }
     }
 
-    pub fn carry(&mut self) {
+    /// A proxy hands the message in; gives what it is told.
+    pub fn carry(&mut self) -> Vec<Carried> {
         let body = Bytes::from_static(b"body");
         let head = Head {
             id: MessageId("0-1".into()),
@@ -109,6 +129,7 @@
             refuse: None,
         };
         self.step(0, Event::Hear { from: daemon("proxy-1"), msg });
+        std::mem::take(&mut self.told)
     }
 
     /// The delivery, in one of its lives, says what it takes.
