--- a/programs/src/fleet/soak.rs
+++ b/programs/src/fleet/soak.rs
@@ -1,5 +1,6 @@
-//! Troubles for a soak, drawn from a seed: kills, planned ends, pauses, cuts
-//! and lost answers, two or three of them at a time.
+//! Troubles for a soak, drawn from a seed: kills, planned ends, pauses, cuts,
+//! lost answers, signals and changes of the charter, two or three of them at a
+//! time; at times one strikes a daemon as soon as the last on it is over.
 use crate::fleet::prelude::*;
 use std::ops::Range;
 
@@ -16,6 +17,8 @@
 /// Between the beginnings of two troubles: so two or three overlap.
 const BETWEEN: Range<f64> = 0.8..2.5;
 const LASTS: Range<f64> = 1.0..5.0;
+/// In a series, the next strikes so many seconds after the one before is over.
+const AT_ONCE: f64 = 0.3;
 const ZONES: [&str; 3] = ["z1", "z2", "z3"];
 
 /// Draws troubles for so many seconds of load. Of one daemon or worker no two
@@ -31,22 +34,52 @@
         let (verb, who) = one(&mut rng, targets);
         let resource = if verb == Verb::Cut || verb == Verb::CutOne { "zones".to_string() } else { who.clone() };
         if busy.get(&resource).is_none_or(|until| *until < at) {
-            busy.insert(resource, at + lasts + 1.0);
-            faults.push(Fault { verb, who, at, back: Some(lasts) });
+            let first = Fault { verb, who, at, back: Some(lasts) };
+            let second = next_of_series(&mut rng, &first, last);
+            let over = second.as_ref().unwrap_or(&first);
+            busy.insert(resource, over.at + over.back.unwrap_or(0.0) + 1.0);
+            faults.push(first);
+            faults.extend(second);
         }
         at += within(&mut rng, BETWEEN);
     }
+    faults.sort_by(|a, b| a.at.total_cmp(&b.at));
     faults
 }
 
+/// At times a daemon that has just come back is struck once more.
+fn next_of_series(rng: &mut fastrand::Rng, first: &Fault, last: f64) -> Option<Fault> {
+    let strikes = [Verb::Kill, Verb::Term, Verb::Freeze, Verb::Hup];
+    let at = first.at + first.back.unwrap_or(0.0) + AT_ONCE;
+    let of_daemon = strikes.contains(&first.verb);
+    if !of_daemon || at >= last || rng.u8(..3) > 0 {
+        return None;
+    }
+    let verb = strikes[rng.usize(..strikes.len())];
+    let lasts = within(rng, LASTS).min(last - at + 1.0);
+    Some(Fault { verb, who: first.who.clone(), at, back: Some(lasts) })
+}
+
 fn within(rng: &mut fastrand::Rng, range: Range<f64>) -> f64 {
     range.start + rng.f64() * (range.end - range.start)
 }
 
 /// A trouble and whom it strikes.
 fn one(rng: &mut fastrand::Rng, targets: &Targets) -> (Verb, String) {
-    let kinds =
-        [Verb::Kill, Verb::Kill, Verb::Term, Verb::Freeze, Verb::Freeze, Verb::Lose, Verb::Crash, Verb::Cut, Verb::CutOne];
+    let kinds = [
+        Verb::Kill,
+        Verb::Kill,
+        Verb::Term,
+        Verb::Freeze,
+        Verb::Freeze,
+        Verb::Lose,
+        Verb::Crash,
+        Verb::Cut,
+        Verb::CutOne,
+        Verb::Hup,
+        Verb::Change,
+        Verb::Change,
+    ];
     let verb = kinds[rng.usize(..kinds.len())];
     let who = match verb {
         Verb::Cut | Verb::CutOne => {
@@ -54,6 +87,7 @@
             let to = (from + 1 + rng.usize(..ZONES.len() - 1)) % ZONES.len();
             format!("{}/{}", ZONES[from], ZONES[to])
         }
+        Verb::Change => "charter".to_string(),
         Verb::Lose | Verb::Crash => targets.workers[rng.usize(..targets.workers.len())].clone(),
         _ => targets.daemons[rng.usize(..targets.daemons.len())].clone(),
     };
