Checker: signs of an older charter are told before those of one that went back

The test a_charter_kept_from_a_daemon_is_caught failed: the breakage was caught 271 times, but the four findings shown were all of the other kind, since one shortened attempt came first in this schedule. Nothing is judged otherwise; the order told is.

--- a/crates/checker/src/routed/charters.rs
+++ b/crates/checker/src/routed/charters.rs
@@ -42,6 +42,8 @@
         );
     }
     let mut all = Vec::new();
+    // Told after the others: of each kind the first are to be seen.
+    let mut gone_back = Vec::new();
     seen.posts.iter().for_each(|p| signs(p, &mut all));
     all.sort_by_key(|s| s.at);
     // The newest revision that each daemon's life has surely acted by.
@@ -59,7 +61,7 @@
         let known = shown.entry((s.who, s.life)).or_default();
         let before = known.iter().filter(|k| k.0 + limits.back_slack < s.sent).map(|k| k.1).max().unwrap_or(0);
         if let Some(most) = fit.iter().max().filter(|m| **m < before) {
-            bad.push(format!(
+            gone_back.push(format!(
                 "at {} ms {} {}, by revision {most} at most, after it acted by {before}",
                 s.at.0 / 1000,
                 s.who,
@@ -70,5 +72,6 @@
             known.push((s.at, *least));
         }
     }
+    bad.extend(gone_back);
     bad
 }
