--- a/crates/delivery/src/run/posts.rs
+++ b/crates/delivery/src/run/posts.rs
@@ -169,15 +169,16 @@
     }
 
     /// Takes an offer of a routed message.
-    pub(super) fn on_post(&mut self, id: HandId, goal: Goal, offer: Offer, asked: Time) {
+    pub(super) fn on_post(&mut self, id: HandId, goal: Goal, offer: Offer, asked: Time, now: Time) {
         if self.hands.contains_key(&id) || !offer.head.sound(&offer.body) {
             return;
         }
         let span = self.span_of(&offer);
         if span == Span::ZERO {
-            // Its route is not in force here; the keeper will see to it.
+            // Its route is not in force here, or not yet.
             self.counts.stale += 1;
-            return;
+            self.hands.insert(id.clone(), Hand { offer, state: State::Waiting, hard: asked + POST_GRACE });
+            return self.finish(&id, Told::Unstarted, now);
         }
         let hard = asked + span + POST_GRACE;
         self.posts.lines.entry(goal).or_default().push_back(id.clone());
--- a/crates/delivery/tests/superseded.rs
+++ b/crates/delivery/tests/superseded.rs
@@ -52,6 +52,7 @@
     asked: Time,
     begun: Vec<Call>,
     holding: Vec<Holding>,
+    settled: Vec<Settled>,
 }
 
 impl Told {
@@ -64,7 +65,14 @@
             hands_max: 64,
             seed: 1,
         };
-        let mut told = Told { core: Delivery::new(startup, NOW), now: NOW, asked: NOW, begun: Vec::new(), holding: Vec::new() };
+        let mut told = Told {
+            core: Delivery::new(startup, NOW),
+            now: NOW,
+            asked: NOW,
+            begun: Vec::new(),
+            holding: Vec::new(),
+            settled: Vec::new(),
+        };
         told.run(Span::millis(400));
         told
     }
@@ -75,6 +83,7 @@
                 Effect::Call(_, call) if matches!(call.errand, Errand::Run { .. }) => self.begun.push(call),
                 Effect::Say(_, Msg::Need { asked, .. }) => self.asked = asked,
                 Effect::Say(_, Msg::Room { holding, .. }) => self.holding = holding,
+                Effect::Say(_, Msg::Settled { all }) => self.settled.extend(all),
                 _ => {}
             }
         }
@@ -110,12 +119,16 @@
 
     /// The first keeper hands out an attempt; no worker is there for it yet.
     fn offer(&mut self) {
+        self.offer_by("bulk");
+    }
+
+    fn offer_by(&mut self, route: &str) {
         let body = Bytes::from_static(b"body");
         let head = Head {
             id: MessageId("0-1".into()),
             crc: crc32(&body),
             len: body.len() as u32,
-            route: "bulk".into(),
+            route: route.into(),
             parcel: Some(Box::default()),
             ..Head::default()
         };
@@ -172,3 +185,15 @@
     told.run(Span::millis(500));
     assert_eq!(told.holding.len(), 1);
 }
+
+/// Its keeper would wait for the attempt's end, some seconds, to hand it out
+/// again.
+#[test]
+fn an_offer_by_a_route_that_is_not_known_yet_goes_back_at_once() {
+    let mut told = Told::new();
+    told.news(1, 2);
+    told.run(Span::millis(600));
+    told.offer_by("newer");
+    let unstarted = told.settled.iter().filter(|s| s.told == dw_delivery::prelude::Told::Unstarted).count();
+    assert_eq!((unstarted, told.begun.len()), (1, 0));
+}
--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -1,7 +1,9 @@
 //! Connections to those called, kept a while for the next call.
 use crate::guard::{Exchange, GuardedStream};
 use crate::prelude::*;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::BytesMut;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, Connection as Driver, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
@@ -25,7 +27,8 @@
 const KEPT: Span = Span::secs(10);
 /// Quiet connections kept for one address.
 const PER_ADDRESS: usize = 64;
-/// The largest response read.
+/// So much of a response's body is kept; what is behind it is read and dropped,
+/// for the head tells how a run ended.
 const RESPONSE_MAX: usize = 1 << 20;
 
 type Out = http::Request<Full<Bytes>>;
@@ -121,8 +124,8 @@
         let mut asked = pin!(async move {
             let sent = sent.await.map_err(|e| described(e.error()))?;
             let (head, body) = sent.into_parts();
-            let body = Limited::new(body, RESPONSE_MAX).collect().await.map_err(|e| described(&*e))?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            let body = read_to_end(body).await.map_err(|e| described(&e))?;
+            Ok(Response::from_parts(head, body))
         });
         let (driver, over) = (&mut self.driver, &mut self.over);
         poll_fn(|cx| {
@@ -147,6 +150,17 @@
     *over = driver.poll_without_shutdown(cx).is_ready();
 }
 
+/// The first bytes of a body that came to its end.
+async fn read_to_end(mut body: Incoming) -> hyper::Result<Bytes> {
+    let mut kept = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        let room = RESPONSE_MAX - kept.len();
+        kept.extend_from_slice(&data[..data.len().min(room)]);
+    }
+    Ok(kept.freeze())
+}
+
 /// An error with all its causes.
 fn described(error: &(dyn std::error::Error + 'static)) -> String {
     let causes = std::iter::successors(Some(error), |e| e.source());
--- a/crates/shell/tests/calls.rs
+++ b/crates/shell/tests/calls.rs
@@ -190,3 +190,15 @@
     c.headers.push(("x", "a\nb".into()));
     assert!(matches!(make(&Arc::default(), &Own, c).await, Reply::Got { code: 400, .. }));
 }
+
+/// A run that succeeded is not in doubt for the size of its answer.
+#[tokio::test]
+async fn an_answer_with_a_large_body_is_read_to_its_end() {
+    let large = 3 << 20;
+    let s = serve(move |_, _| Some(format!("HTTP/1.1 200 OK\r\ncontent-length: {large}\r\n\r\n{}", "x".repeat(large))));
+    let pool = Arc::default();
+    for _ in 0..2 {
+        let Reply::Got { code: 200, body, .. } = go(&pool, s.addr).await else { panic!("it is lost") };
+        assert_eq!(body.len(), 1 << 20);
+    }
+}
--- a/crates/shell/tests/late.rs
+++ b/crates/shell/tests/late.rs
@@ -183,3 +183,17 @@
     }
     assert_eq!(server.connections.load(Ordering::SeqCst), 3);
 }
+
+/// The core is far behind: what a call came to waits for it.
+#[tokio::test]
+async fn an_end_of_a_call_is_not_dropped_while_the_ring_is_full() {
+    let server = serve(|_| Then::Stay);
+    let (ring, events) = crossbeam_channel::bounded(1);
+    ring.send(Event::Clock).unwrap();
+    let caller = Caller::new(Arc::new(Own), ring);
+    caller.begin(CallId(1), call(server.addr, LONG), now());
+    tokio::time::sleep(FREEZE).await;
+    assert_eq!(events.try_recv(), Ok(Event::Clock));
+    let end = tokio::task::spawn_blocking(move || events.recv_timeout(FREEZE * 10)).await.unwrap();
+    assert!(matches!(end, Ok(Event::Back(CallId(1), Reply::Got { code: 200, .. }))), "{end:?}");
+}
