--- a/crates/delivery/src/run/posts.rs
+++ b/crates/delivery/src/run/posts.rs
@@ -34,14 +34,10 @@
 /// Calls open at once to an address that said nothing of its slots.
 const SITE_SLOTS: u32 = 8;
 const SITE_MOST: u32 = 64;
-/// The hard end of one call-back; the keeper has the same.
-const CALL: Span = Span::millis(2500);
 /// A worker's own last word may come a little after the attempt's end.
 const LATE: Span = Span::millis(80);
 /// A hand is begun no later than this before its hard end.
 const SLACK: Span = Span::millis(150);
-/// How long a hand may wait here; the keeper has the same.
-const POST_GRACE: Span = Span::secs(2);
 /// A worker that says it is full is left alone for so long.
 const FULL: Span = Span::millis(60);
 /// What a cold worker of unknown rate gets in a second.
@@ -61,7 +57,7 @@
     fn span_of(&self, o: &Offer) -> Span {
         let by_charter = match o.stage {
             Stage::Work => self.link.rules.routes.get(&o.head.route).map_or(Span::ZERO, |r| r.attempt),
-            _ => CALL,
+            _ => CALL_BACK_LIMIT,
         };
         o.limited(by_charter)
     }
@@ -177,10 +173,10 @@
         if span == Span::ZERO {
             // Its route is not in force here, or not yet.
             self.counts.stale += 1;
-            self.hands.insert(id.clone(), Hand { offer, state: State::Waiting, hard: asked + POST_GRACE });
+            self.hands.insert(id.clone(), Hand { offer, state: State::Waiting, hard: asked + ROUTED_GRACE });
             return self.finish(&id, Told::Unstarted, now);
         }
-        let hard = asked + span + POST_GRACE;
+        let hard = asked + span + ROUTED_GRACE;
         self.posts.lines.entry(goal).or_default().push_back(id.clone());
         self.hands.insert(id, Hand { offer, state: State::Waiting, hard });
     }
--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -20,12 +20,8 @@
 const LIVES_REMEMBERED: usize = 16;
 /// A word older than this is no longer acted on.
 const WORD: Span = Span::millis(1200);
-/// How long a delivery may hold a message before it begins a run of it.
-pub const POST_GRACE: Span = Span::secs(2);
 /// Of one address to be called back at, so many at once from one store.
 const CALLS_AT_ONCE: u32 = 6;
-/// The hard end of one call-back.
-pub const CALL: Span = Span::millis(2500);
 /// A call-back that failed is tried again after this, doubled to the cap.
 const CALL_PAUSE: Span = Span::millis(300);
 const CALL_PAUSE_MAX: Span = Span::secs(2);
@@ -212,7 +208,7 @@
     fn take_post(&mut self, line: &Line, goal: &Goal, to: &Daemon, life: Mark, now: Time) -> Option<Offer> {
         let call = matches!(goal, Goal::Address(_));
         let attempt = match call {
-            true => CALL,
+            true => CALL_BACK_LIMIT,
             false => self.link.rules.routes.get(&line.name)?.attempt,
         };
         let worth = self.link.rules.routes.get(&line.name).map(|r| r.worth);
@@ -275,7 +271,7 @@
                 owes: String::new(),
                 goal: Some(goal.clone()),
                 life,
-                end: now + (attempt + POST_GRACE).percent(105),
+                end: now + (attempt + ROUTED_GRACE).percent(105),
             };
             own.lane.flights.insert(seq, flight);
             let place = place.clone();
