Invariant: an open message stands in a line, is under way or is behind its key's first

Each second a store looks for routed messages whose work is not over and that nothing would ever run again; it counts them, says so (event 314) and lets them in again, after the rest at an opening. A fault in the simulator and in the soak.

--- a/crates/sim/src/world/processes.rs
+++ b/crates/sim/src/world/processes.rs
@@ -130,7 +130,7 @@
                     self.say(format!("{id} {} {}: {text}", note.number(), note.what()));
                 }
                 // The core found an invariant of its own broken.
-                Effect::Note(note @ (Note::AttemptOutlived | Note::EndedHandedOut), text) => {
+                Effect::Note(note @ (Note::AttemptOutlived | Note::EndedHandedOut | Note::Stranded), text) => {
                     self.check.flag(format!("invariant: {id} {}: {text}", note.what()));
                 }
                 Effect::Note(note, text) => self.say(format!("{id} {} {}: {text}", note.number(), note.what())),
--- a/crates/waitlist/src/store/attempt_ends.rs
+++ b/crates/waitlist/src/store/attempt_ends.rs
@@ -37,6 +37,17 @@
         false
     }
 
+    /// An open message that nothing would ever run again: it waits from now on,
+    /// or until the rest at the opening is over.
+    pub(super) fn let_in_again(&mut self, place: &Place, id: &MessageId, now: Time) {
+        let Some(p) = self.parts.get_mut(place) else { return };
+        let (Some(own), Some(r)) = (p.own.as_mut(), p.recs.get(id)) else { return };
+        own.lane.ids.insert(r.head.seq, id.clone());
+        own.lane.post(&r.head.route, own.quiet.max(now), r.head.seq);
+        self.counts.stranded += 1;
+        self.note(Note::Stranded, format!("{place} {id}"));
+    }
+
     /// Judges a success of an attempt that is not under way here.
     pub(super) fn judge_success(&mut self, from: &Daemon, told: &Settled, now: Time) {
         let Some(p) = self.parts.get_mut(&told.place) else { return };
