--- /dev/null
+++ b/crates/waitlist/tests/loaded/mod.rs
@@ -0,0 +1,276 @@
+//! Stores of one partition of routed messages under load. The first keeps it; of
+//! the others the one that gets every operation is the replica that a test takes
+//! away. What one says reaches another a step later.
+use crate::settings::*;
+use dw_waitlist::prelude::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const STEP: Span = Span::millis(5);
+const KEEPER: &str = "store-1";
+const TERM: Term = Term(1);
+const EPOCH: Epoch = Epoch { term: TERM, count: 1 };
+/// Bytes of each message.
+const BODY: usize = 2_000;
+const ROUTES: &str = r#"{"revision": 1, "spool": 1, "retain_ms": 120000,
+  "services": [{"name": "sheets", "slots": 100000}],
+  "routes": [{"name": "bulk", "host": "h", "prefix": "/", "service": "sheets", "attempts": 3,
+              "attempt_ms": 1000, "worth_ms": 60000}]}"#;
+
+fn place() -> Place {
+    Place { tenant: "~".into(), waitlist: "spool".into(), part: 0 }
+}
+
+pub struct Loaded {
+    now: Time,
+    cores: BTreeMap<Daemon, Store>,
+    /// What arrives in the next step.
+    queue: VecDeque<(Daemon, Event)>,
+    cut: BTreeSet<Daemon>,
+    replica: Daemon,
+    set: Vec<(Daemon, Mark)>,
+    /// Handed out, and not ended yet.
+    under_way: VecDeque<Offer>,
+    handed_in: u64,
+    /// Whether messages come in and end.
+    busy: bool,
+    notes: Vec<Note>,
+    report: Report,
+    /// The largest message between two stores, in bytes.
+    pub largest: usize,
+    /// Bytes that the keeper sent to the replica.
+    pub sent_to_replica: usize,
+}
+
+impl Loaded {
+    /// Serving, with so many messages under way at a worker.
+    pub fn with_messages(stores: u64, count: u64) -> Loaded {
+        let mut all = Loaded {
+            now: Time::millis(1_000),
+            cores: BTreeMap::new(),
+            queue: VecDeque::new(),
+            cut: BTreeSet::new(),
+            replica: daemon(KEEPER),
+            set: Vec::new(),
+            under_way: VecDeque::new(),
+            handed_in: 0,
+            busy: false,
+            notes: Vec::new(),
+            report: Report::default(),
+            largest: 0,
+            sent_to_replica: 0,
+        };
+        for n in 1..=stores {
+            all.start_empty(&format!("store-{n}"), Mark(n));
+        }
+        all.set = (1..=stores).map(|n| (daemon(&format!("store-{n}")), Mark(n))).collect();
+        all.run(Span::secs(3));
+        let own = all.cores[&daemon(KEEPER)].parts[&place()].own.as_ref().expect("a keeper");
+        all.replica = own.mates.keys().next().expect("a replica").clone();
+        for _ in 0..count {
+            all.hand_in();
+        }
+        all.run(Span::secs(1));
+        assert_eq!(all.under_way.len() as u64, count);
+        all.busy = true;
+        all
+    }
+
+    fn start_empty(&mut self, name: &str, mark: Mark) {
+        let zone = name.replace("store", "z");
+        let startup = Startup {
+            pull: Span::millis(300),
+            bytes_max: 1 << 30,
+            disk_max: 1 << 30,
+            cache_max: 1 << 30,
+            count_max: 1 << 20,
+            ..startup(member(name, &zone))
+        };
+        let (core, out) = Store::new(startup, &Vec::new(), mark, self.now);
+        self.cores.insert(daemon(name), core);
+        self.obey(&daemon(name), out);
+    }
+
+    /// The replica comes back without its disk.
+    pub fn lose_disk(&mut self) {
+        let replica = self.replica.clone();
+        self.queue.retain(|(to, _)| *to != replica);
+        self.start_empty(replica.as_str(), Mark(22));
+    }
+
+    /// The keeper reaches no other store for a while.
+    pub fn cut_off(&mut self, span: Span) {
+        self.cut.insert(daemon(KEEPER));
+        self.run(span);
+        self.cut.clear();
+        self.notes.clear();
+    }
+
+    /// How long until the replica holds all under the keeper's epoch.
+    pub fn run_until_whole(&mut self, most: Span) -> Span {
+        let begun = self.now;
+        while !self.is_whole() {
+            assert!(self.now.since(begun) < most, "not whole after {} ms", most.as_millis());
+            self.step();
+        }
+        self.now.since(begun)
+    }
+
+    /// By the keeper's own word: the copy counts, or may be counted.
+    fn is_whole(&self) -> bool {
+        let replica = &self.cores[&self.replica];
+        let Some(own) = self.cores[&daemon(KEEPER)].parts[&place()].own.as_ref() else { return false };
+        let told = own.whole.get(&self.replica) == Some(&replica.mark);
+        let have = own.sibs.get(&self.replica).and_then(|s| s.have);
+        let level = have.is_some_and(|have| have + 200 >= self.cores[&daemon(KEEPER)].parts[&place()].n);
+        level && (told || own.counts(&self.replica, replica.mark))
+    }
+
+    pub fn notes_of(&self, note: Note) -> usize {
+        self.notes.iter().filter(|n| **n == note).count()
+    }
+
+    /// Once nothing more comes in, both hold the same records.
+    pub fn assert_same(&mut self) {
+        self.busy = false;
+        for (id, mark) in &mut self.set {
+            *mark = self.cores[id].mark;
+        }
+        self.run(Span::secs(3));
+        let records = |name: &str| -> Vec<(Head, Stage, Option<Bytes>)> {
+            let part = &self.cores[&daemon(name)].parts[&place()];
+            part.recs.values().map(|r| (r.head.clone(), r.stage, r.bytes())).collect()
+        };
+        let (kept, copied) = (records(KEEPER), records(self.replica.as_str()));
+        assert_eq!(kept.len(), copied.len());
+        for (kept, copied) in kept.iter().zip(&copied) {
+            assert_eq!(kept, copied);
+        }
+    }
+
+    fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        if self.busy {
+            self.hand_in();
+            self.end_one();
+        }
+        if self.now.0.is_multiple_of(20_000) {
+            self.say_room();
+            let stores: Vec<Daemon> = self.cores.keys().cloned().collect();
+            self.queue.extend(stores.into_iter().map(|id| (id, Event::Clock)));
+        }
+        for (id, event) in std::mem::take(&mut self.queue) {
+            let Some(core) = self.cores.get_mut(&id) else { continue };
+            let out = core.step(event, self.now);
+            self.obey(&id, out);
+        }
+    }
+
+    fn obey(&mut self, id: &Daemon, out: Vec<Effect>) {
+        for effect in out {
+            match effect {
+                Effect::Note(note, _) => self.notes.push(note),
+                Effect::Save { n, .. } => self.queue.push_back((id.clone(), Event::Saved(n))),
+                Effect::Say(_, Msg::Need { asked, report, .. }) => self.answer(id, asked, report),
+                Effect::Say(_, Msg::Offers { all, .. }) => self.under_way.extend(all),
+                Effect::Say(to, _) if self.cut.contains(id) || self.cut.contains(&to) => {}
+                Effect::Say(to, msg) if self.cores.contains_key(&to) => self.carry(id, to, msg),
+                _ => {}
+            }
+        }
+    }
+
+    fn carry(&mut self, from: &Daemon, to: Daemon, msg: Msg) {
+        let size = encode(&msg).len();
+        self.largest = self.largest.max(size);
+        if *from == daemon(KEEPER) && to == self.replica {
+            self.sent_to_replica += size;
+        }
+        self.queue.push_back((to, Event::Hear { from: from.clone(), msg }));
+    }
+
+    /// Answers a pull as placement does.
+    fn answer(&mut self, to: &Daemon, asked: Time, report: Option<Report>) {
+        let version = Version { term: TERM, count: 1 };
+        let members = self.cores.iter().map(|(id, core)| {
+            let zone = id.as_str().replace("store", "z");
+            Member { disk: core.mark, ..member(id.as_str(), &zone) }
+        });
+        let placing = Placing { keeper: daemon(KEEPER), epoch: EPOCH };
+        let items = vec![
+            (version, Item::Charter(ROUTES.to_string())),
+            (version, Item::Members(members.collect())),
+            (version, Item::Places(vec![(place(), placing)])),
+        ];
+        let mut grants = Vec::new();
+        if *to == daemon(KEEPER) && !self.set.is_empty() {
+            self.report = report.unwrap_or_default();
+            let set = self.set.clone();
+            let duty = Duty::Keep(place());
+            grants.push(Grant { duty, epoch: EPOCH, set, swap: None, swap_number: Version::ZERO, shed: false, slice: None });
+        }
+        let msg = Msg::News { asked, term: TERM, fresh: Some(Span::secs(2)), items, grants, late: Vec::new() };
+        self.queue.push_back((to.clone(), Event::Hear { from: daemon("placement-1"), msg }));
+    }
+
+    /// A proxy hands a message in. Names are spread as hashes are.
+    fn hand_in(&mut self) {
+        self.handed_in += 1;
+        let number = self.handed_in;
+        let name = format!("0-{:016x}", hash_of(&number.to_le_bytes()));
+        let body = Bytes::from(vec![number as u8; BODY]);
+        let head = Head {
+            id: MessageId(name),
+            crc: crc32(&body),
+            len: BODY as u32,
+            route: "bulk".into(),
+            parcel: Some(Box::default()),
+            ..Head::default()
+        };
+        let msg = Msg::Carry {
+            ask: number,
+            proxy: daemon("proxy-1"),
+            via: None,
+            again: true,
+            place: place(),
+            version: Version { term: TERM, count: 1 },
+            head,
+            body,
+            stamp: Some(Stamp { reading: Some(Reading { life: Mark(1), at: self.now }), age: Span::ZERO }),
+            refuse: None,
+        };
+        self.queue.push_back((daemon(KEEPER), Event::Hear { from: daemon("proxy-1"), msg }));
+    }
+
+    /// The delivery says what it takes.
+    fn say_room(&mut self) {
+        let reach = Reach { life: Mark(7), services: vec![("sheets".into(), 100_000)], addresses: Vec::new() };
+        let places = vec![(place(), EPOCH)];
+        let msg = Msg::Room { asked: self.now, duties: Vec::new(), places, holding: Vec::new(), reach: Some(reach) };
+        self.queue.push_back((daemon(KEEPER), Event::Hear { from: daemon("delivery-1"), msg }));
+    }
+
+    /// A worker is done with a message; not always with the oldest.
+    fn end_one(&mut self) {
+        let at = (self.handed_in as usize * 7919) % self.under_way.len().max(1);
+        let Some(offer) = self.under_way.remove(at) else { return };
+        let one = Settled {
+            place: place(),
+            id: offer.head.id,
+            epoch: offer.epoch,
+            attempt: offer.attempt,
+            stage: offer.stage,
+            told: Told::Success,
+            seal: "seal".into(),
+            ended_ago: Span::ZERO,
+        };
+        let msg = Msg::Settled { all: vec![one] };
+        self.queue.push_back((daemon(KEEPER), Event::Hear { from: daemon("delivery-1"), msg }));
+    }
+}
--- a/crates/waitlist/tests/replacement.rs
+++ b/crates/waitlist/tests/replacement.rs
@@ -11,13 +11,16 @@
 const LEAVER: &str = "store-2";
 const THIRD: &str = "store-3";
 const JOINER: &str = "store-4";
+/// It stands in the keeper's zone.
+const NEIGHBOUR: &str = "store-9";
 
 fn place() -> Place {
     Place { tenant: "curators".into(), waitlist: "sheets".into(), part: 0 }
 }
 
 fn in_own_zone(name: &str) -> Member {
-    member(name, &name.replace("store", "zone"))
+    let zone_of = if name == NEIGHBOUR { KEEPER } else { name };
+    member(name, &zone_of.replace("store", "zone"))
 }
 
 struct Stores {
@@ -27,6 +30,8 @@
     cut: BTreeSet<Daemon>,
     queue: Queue<(Daemon, Event)>,
     set: Vec<(Daemon, Mark)>,
+    /// The count of the keeper's epoch.
+    epoch: u64,
     swap: Option<(Daemon, Daemon, u64)>,
     /// What the keeper last reported.
     report: Report,
@@ -45,28 +50,33 @@
             cut: BTreeSet::new(),
             queue: Queue::new(),
             set: Vec::new(),
+            epoch: 1,
             swap: None,
             report: Report::default(),
             accepted: BTreeSet::new(),
             asked: 0,
         };
         for name in set.iter().copied().chain([JOINER]) {
-            let settings = Startup {
-                pull: Span::millis(300),
-                word: Span::millis(500),
-                seed: hash_of(name.as_bytes()),
-                ..startup(in_own_zone(name))
-            };
-            let none: Vec<(String, Bytes)> = Vec::new();
-            let (core, out) = Store::new(settings, &none, Mark(hash_of(name.as_bytes())), s.now);
-            s.cores.insert(daemon(name), core);
-            s.obey(&daemon(name), out);
+            s.start_empty(name, Mark(hash_of(name.as_bytes())));
         }
         s.set = set.iter().map(|n| (daemon(n), s.mark(n))).collect();
         s.run(3_000);
         assert_eq!(s.keeper().phase, Phase::Serving);
         s
     }
+    /// Starts a store on an empty folder.
+    fn start_empty(&mut self, name: &str, mark: Mark) {
+        let settings = Startup {
+            pull: Span::millis(300),
+            word: Span::millis(500),
+            seed: hash_of(name.as_bytes()),
+            ..startup(in_own_zone(name))
+        };
+        let none: Vec<(String, Bytes)> = Vec::new();
+        let (core, out) = Store::new(settings, &none, mark, self.now);
+        self.cores.insert(daemon(name), core);
+        self.obey(&daemon(name), out);
+    }
     fn mark(&self, name: &str) -> Mark {
         self.cores[&daemon(name)].mark
     }
@@ -103,7 +113,7 @@
                 None => (None, Version::ZERO),
             };
             let duty = Duty::Keep(place());
-            let epoch = Epoch { term: Term(1), count: 1 };
+            let epoch = Epoch { term: Term(1), count: self.epoch };
             grants.push(Grant { duty, epoch, set: self.set.clone(), swap, swap_number, shed: false, slice: None });
         }
         let fresh = Some(Span::millis(2_500));
@@ -257,3 +267,44 @@
     s.run(4_000);
     assert_eq!((s.accepted.contains(&11), s.has("store-6")), (true, 11));
 }
+
+/// The only store of another zone is gone for good, and the keeper has just
+/// opened the partition anew: it waits for a second copy in another zone.
+fn without_another_zone() -> Stores {
+    let mut s = Stores::with_set(&[KEEPER, LEAVER, NEIGHBOUR]);
+    s.hand_in(20);
+    s.cut.insert(daemon(LEAVER));
+    s.epoch = 2;
+    s.run(2_000);
+    assert_eq!(s.keeper().phase, Phase::Spreading);
+    s
+}
+
+/// Issue 32: the successor of the only store in another zone was made whole by
+/// keepers that serve, and this one serves only once it has a copy there. The
+/// partition never opened again.
+#[test]
+fn a_partition_that_waits_for_another_zone_makes_the_successor_whole() {
+    let mut s = without_another_zone();
+    s.replace(1);
+    s.run(1_500);
+    assert!(s.seat_may_move(), "the successor is never made whole");
+    s.set[1] = (daemon(JOINER), s.mark(JOINER));
+    s.swap = None;
+    s.run(1_500);
+    assert_eq!((s.keeper().phase, s.has(JOINER)), (Phase::Serving, 20));
+}
+
+/// The same with a store that comes back without its disk.
+#[test]
+fn a_partition_that_waits_for_another_zone_makes_a_lost_disk_whole() {
+    let mut s = without_another_zone();
+    let fresh = Mark(4711);
+    s.start_empty(LEAVER, fresh);
+    s.cut.clear();
+    s.run(1_500);
+    assert!(s.report.whole.contains(&(place(), daemon(LEAVER), fresh)), "the lost disk is never made whole");
+    s.set[1] = (daemon(LEAVER), fresh);
+    s.run(1_500);
+    assert_eq!((s.keeper().phase, s.has(LEAVER)), (Phase::Serving, 20));
+}
--- /dev/null
+++ b/crates/waitlist/tests/snapshot.rs
@@ -0,0 +1,28 @@
+//! A store whose disk was lost is made whole while its keeper takes messages
+//! in and messages end.
+mod loaded;
+mod settings;
+use dw_waitlist::prelude::*;
+use loaded::*;
+
+/// Issue 32: each message that ended between the list and its bytes made the
+/// copy begin anew, so that under load it never came to an end.
+#[test]
+fn messages_that_end_on_the_way_do_not_begin_a_copy_anew() {
+    let mut stores = Loaded::with_messages(3, 600);
+    stores.lose_disk();
+    let took = stores.run_until_whole(Span::secs(4));
+    assert_eq!(stores.notes_of(Note::BadBody), 0, "bytes that were let go of pass for bad ones");
+    assert!(took < Span::secs(1), "{} ms", took.as_millis());
+    stores.assert_same();
+}
+
+/// What is kept of messages that ended is not sent in one frame, however much
+/// it is.
+#[test]
+fn no_answer_of_a_copy_grows_with_the_partition() {
+    let mut stores = Loaded::with_messages(3, 600);
+    stores.lose_disk();
+    stores.run_until_whole(Span::secs(4));
+    assert!(stores.largest <= 1 << 20, "{} bytes in one message", stores.largest);
+}
