A keeper that waits for a copy in another zone makes seats whole

Cause: a keeper saw to replaced seats only while it served, and without a mate not at all (tend returned early). Ruled out: a lost replica (two stores held all records to the end), placement (it gave the swap within 0.3 s). Change: seats are filled in Spreading as in Serving; tend is split into one function a concern, in a module of its own.

--- /dev/null
+++ b/crates/waitlist/src/store/mates.rs
@@ -0,0 +1,180 @@
+//! The siblings of a partition that its keeper sees to: the mates that get every
+//! operation, and those whose copy does not count yet.
+use crate::prelude::*;
+
+/// A mate that owes an acknowledgement for so many parts of a hundred of a
+/// lease gives way to another.
+const QUIET: u64 = 30;
+/// A mate that lacks something is asked again after this.
+const MATE_ASKED_AGAIN: Span = Span::millis(300);
+/// A store that has to be made whole for its seat, after this.
+const SEAT_ASKED_AGAIN: Span = Span::secs(1);
+const SEAL_ASKED_AGAIN: Span = Span::secs(1);
+
+impl Store {
+    /// Chooses the siblings that get every op, as many as must have it beside
+    /// this store and one at least in another zone. A `lost` mate gives way to
+    /// the next sibling, if there is another.
+    pub(super) fn match_mates(&mut self, place: &Place, lost: Option<&Daemon>, now: Time) {
+        let zones: BTreeMap<Daemon, Zone> = self.link.members.values().map(|m| (m.id.clone(), m.zone.clone())).collect();
+        let zone = self.startup.me.zone.clone();
+        let far = |d: &Daemon| zones.get(d).is_some_and(|z| *z != zone);
+        let all = self.mate_candidates(place, &zones);
+        let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
+        let needed = own.mates_needed();
+        own.mates.retain(|d, _| all.contains(d) && Some(d) != lost);
+        // The one after the lost one comes first, the lost one itself last.
+        let begin = lost.and_then(|lost| all.iter().position(|d| d == lost)).map_or(0, |at| at + 1);
+        let in_turn: Vec<&Daemon> = all.iter().cycle().skip(begin).take(all.len()).collect();
+        let mut joined = Vec::new();
+        while own.mates.len() < needed {
+            let last_place = own.mates.len() + 1 == needed;
+            let must_be_far = last_place && !own.mates.keys().any(far);
+            let fits = |d: &&&Daemon| !own.mates.contains_key(**d) && (!must_be_far || far(d));
+            let Some(next) = in_turn.iter().find(fits).map(|d| (*d).clone()) else { break };
+            own.mates.insert(next.clone(), now);
+            joined.push(next);
+        }
+        joined.retain(|d| Some(d) != lost);
+        if joined.is_empty() {
+            return;
+        }
+        own.asked = Time(0);
+        if lost.is_some() {
+            let names: Vec<String> = joined.iter().map(|d| d.to_string()).collect();
+            self.note(Note::MateMatched, format!("{place} now {}", names.join(", ")));
+        }
+        self.tend(place, now);
+    }
+
+    /// The siblings that may be mates of a partition, the fittest first.
+    fn mate_candidates(&self, place: &Place, zones: &BTreeMap<Daemon, Zone>) -> Vec<Daemon> {
+        let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return Vec::new() };
+        let me = &self.startup.me;
+        let leaves = |d: &Daemon| own.swap.as_ref().is_some_and(|s| s.0 == *d);
+        // One mate has to be in another zone; of several, any may be near.
+        let near_too = own.mates_needed() > 1;
+        let apart = |d: &Daemon| zones.get(d).is_some_and(|z| near_too || *z != me.zone);
+        let mut all: Vec<Daemon> =
+            own.set.iter().map(|s| s.0.clone()).filter(|d| *d != me.id && apart(d) && !leaves(d)).collect();
+        if all.is_empty() {
+            return all;
+        }
+        let by = hash_of(place.to_string().as_bytes()) as usize % all.len();
+        all.rotate_left(by);
+        // Fenced ones have shown they are there; one whose folder was lost
+        // does not count until its new one is known to all.
+        all.sort_by_key(|d| own.fences.get(d).map_or(1, |f| if own.counts(d, f.mark) { 0 } else { 2 }));
+        all
+    }
+
+    /// A sibling closed its line: where something waits for its copy, another
+    /// takes its part at once.
+    pub(super) fn on_cut(&mut self, d: &Daemon, now: Time) {
+        let waits = |p: &Part| p.own.as_ref().is_some_and(|o| o.mates.contains_key(d) && !o.waits.is_empty());
+        let all: Vec<Place> = self.parts.iter().filter(|(_, p)| waits(p)).map(|(k, _)| k.clone()).collect();
+        for place in all {
+            self.match_mates(&place, Some(d), now);
+        }
+    }
+
+    /// Sees to the mates, and to seats whose copy does not count yet.
+    pub(super) fn tend(&mut self, place: &Place, now: Time) {
+        let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
+        if own.mates.is_empty() {
+            self.match_mates(place, None, now);
+        }
+        let (mut to_copy, lost) = self.tend_mates(place, now);
+        to_copy.extend(self.seats_to_fill(place, now));
+        self.seal_unfenced(place, now);
+        for sibling in to_copy {
+            self.offer_copy(place, sibling);
+        }
+        self.dirty.insert(place.clone());
+        let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
+        if lost.is_some() || own.mates.len() < own.mates_needed() {
+            self.match_mates(place, lost.as_ref(), now);
+        }
+    }
+
+    /// The mates that need a whole copy, and one that has to give way: it lags
+    /// and has not moved for a while, or it leaves.
+    fn tend_mates(&mut self, place: &Place, now: Time) -> (Vec<Daemon>, Option<Daemon>) {
+        let patience = self.startup.terms.length.percent(QUIET);
+        let (mut to_copy, mut lost) = (Vec::new(), None);
+        let Some(p) = self.parts.get_mut(place) else { return (to_copy, lost) };
+        let Some(own) = p.own.as_mut() else { return (to_copy, lost) };
+        let top = p.n;
+        for (mate, since) in own.mates.clone() {
+            let sib = own.sibs.entry(mate.clone()).or_default();
+            let behind = sib.have.is_none_or(|h| h < top);
+            // Silence counts from when there was something to acknowledge.
+            sib.owed = behind.then(|| sib.owed.unwrap_or(now));
+            let quiet = now.since(sib.heard.max(since).max(sib.owed.unwrap_or(now))) > patience;
+            let leaves = own.swap.as_ref().is_some_and(|s| s.0 == mate);
+            if (behind && quiet) || leaves {
+                lost.get_or_insert(mate);
+                continue;
+            }
+            if behind && now.since(sib.asked) > MATE_ASKED_AGAIN {
+                sib.asked = now;
+                match sib.have {
+                    None => to_copy.push(mate.clone()),
+                    Some(h) => sib.sent = h,
+                }
+            }
+        }
+        (to_copy, lost)
+    }
+
+    /// Stores of the set whose folder is another than the one that counts, and
+    /// the one that takes a seat. A keeper that waits for a copy in another zone
+    /// sees to them too: one of them may be the only store there.
+    fn seats_to_fill(&mut self, place: &Place, now: Time) -> Vec<Daemon> {
+        let mut to_copy = Vec::new();
+        let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return to_copy };
+        if !own.is_whole() {
+            return to_copy;
+        }
+        let joining = own.swap.iter().map(|s| (s.1.clone(), Mark(0)));
+        for (store, mark) in own.set.clone().into_iter().chain(joining) {
+            let disk = self.link.members.get(&store).map(|m| m.disk);
+            if store == self.startup.me.id || disk.is_none_or(|m| m == mark) {
+                continue;
+            }
+            let whole = own.whole.get(&store) == disk.as_ref();
+            let sib = own.sibs.entry(store.clone()).or_default();
+            if !whole && now.since(sib.asked) > SEAT_ASKED_AGAIN {
+                sib.asked = now;
+                to_copy.push(store);
+            }
+        }
+        to_copy
+    }
+
+    /// Stores of the set that were never fenced may have come back since.
+    fn seal_unfenced(&mut self, place: &Place, now: Time) {
+        let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
+        let me = &self.startup.me.id;
+        let unseen: Vec<Daemon> =
+            own.set.iter().map(|seat| seat.0.clone()).filter(|d| d != me && !own.fences.contains_key(d)).collect();
+        if own.phase != Phase::Serving || unseen.is_empty() || now.since(own.asked) <= SEAL_ASKED_AGAIN {
+            return;
+        }
+        own.asked = now;
+        let epoch = own.epoch;
+        for store in unseen {
+            self.say(&store, Msg::Seal { place: place.clone(), epoch });
+        }
+    }
+
+    /// Tells a sibling that it lacks this epoch, so that it asks for a copy.
+    fn offer_copy(&mut self, place: &Place, sibling: Daemon) {
+        let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
+        let mark = own.set.iter().find(|seat| seat.0 == sibling).map_or(Mark(0), |seat| seat.1);
+        let short = own.sibs.get(&sibling).is_some_and(|s| s.short);
+        let lag = Msg::Lag { place: place.clone(), epoch: own.epoch, was: own.was, mark, short };
+        self.note(Note::Repairing, format!("{place} at {sibling}"));
+        self.say(&sibling, lag);
+    }
+}
