--- /dev/null
+++ b/crates/waitlist/src/partial_copy.rs
@@ -0,0 +1,152 @@
+//! A copy of a partition while its parts come in.
+use crate::prelude::*;
+
+/// So many messages' bytes are asked for at once.
+const WANTED_AT_ONCE: usize = 256;
+
+/// Invariants: `records` are exactly the source's at operation `position.n`, of
+/// those up to `position.after`; `missing` names at least all of them whose
+/// bytes are neither here nor, as far as was known, held by the replica itself.
+#[derive(Default)]
+pub struct PartialCopy {
+    records: Box<Part>,
+    /// Takes the accounts of files that `records` has no use for.
+    accounts: Ledger,
+    position: Option<CopyPosition>,
+    /// The operation at which the last part stood.
+    n: u64,
+    next: u64,
+    complete: bool,
+    missing: BTreeSet<MessageId>,
+    /// Bytes from before it began anew: a message's bytes never change.
+    spare: BTreeMap<MessageId, Bytes>,
+}
+
+/// Why a part was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Untaken {
+    /// It answers an earlier question.
+    Late,
+}
+
+impl PartialCopy {
+    /// One that begins with the bytes that an earlier one brought.
+    pub fn after(earlier: PartialCopy) -> PartialCopy {
+        let mut spare = earlier.spare;
+        for record in earlier.records.recs.into_values() {
+            if let (1.., Some(body)) = (record.head.len, record.body) {
+                spare.insert(record.head.id, body);
+            }
+        }
+        PartialCopy { spare, ..PartialCopy::default() }
+    }
+
+    /// The operation at which it stands.
+    pub fn n(&self) -> u64 {
+        self.n
+    }
+
+    /// The next place in the partition's order.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Whether no more records come.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// How many messages' bytes are lacking.
+    pub fn lacking(&self) -> usize {
+        self.missing.len()
+    }
+
+    pub fn records(&self) -> impl Iterator<Item = &Rec> {
+        self.records.recs.values()
+    }
+
+    /// What to ask for next.
+    pub fn request(&self) -> CopyRequest {
+        CopyRequest { position: self.position.clone(), wanted: self.wanted() }
+    }
+
+    /// Messages whose bytes are asked for next.
+    pub fn wanted(&self) -> Vec<MessageId> {
+        self.missing.iter().take(WANTED_AT_ONCE).cloned().collect()
+    }
+
+    /// Takes the next part. `held` says whether the replica itself holds a
+    /// message's bytes.
+    pub fn take(&mut self, place: &Place, part: CopyPart, held: impl Fn(&Head) -> bool, now: Time) -> Result<(), Untaken> {
+        if part.from.is_none() {
+            *self = PartialCopy::after(std::mem::take(self));
+        } else if part.from != self.position {
+            return Err(Untaken::Late);
+        }
+        for op in &part.ops {
+            self.apply(place, op, now);
+        }
+        self.take_bodies(part.bodies);
+        if let Some((last, _)) = part.records.last() {
+            self.position = Some(CopyPosition { after: last.id.clone(), n: part.n });
+        } else if let Some(position) = &mut self.position {
+            position.n = part.n;
+        }
+        for (head, stage) in &part.records {
+            self.put(head, *stage, &held, now);
+        }
+        (self.n, self.next, self.complete) = (part.n, part.next, part.complete);
+        Ok(())
+    }
+
+    fn apply(&mut self, place: &Place, op: &Op, now: Time) {
+        self.records.apply(place, op, 0, now, &mut self.accounts);
+        self.missing.remove(op.id());
+        self.seek(op.id());
+    }
+
+    fn put(&mut self, head: &Head, stage: Stage, held: &impl Fn(&Head) -> bool, now: Time) {
+        self.records.put(head, stage, &Bytes::new(), 0, now, &mut self.accounts);
+        let Some(record) = self.records.recs.get_mut(&head.id) else { return };
+        if record.head.len == 0 {
+            return;
+        }
+        record.body = self.spare.remove(&head.id).filter(|body| head.sound(body));
+        if record.body.is_none() && !held(head) {
+            self.missing.insert(head.id.clone());
+        }
+    }
+
+    /// Notes a record as missing if its bytes are not here.
+    fn seek(&mut self, id: &MessageId) {
+        let Some(record) = self.records.recs.get(id) else { return };
+        if record.bytes().is_none() {
+            self.missing.insert(id.clone());
+        }
+    }
+
+    /// Takes bytes of its records; false when some are not what was handed in.
+    pub fn take_bodies(&mut self, bodies: Vec<(MessageId, Bytes)>) -> bool {
+        let mut sound = true;
+        for (id, body) in bodies {
+            let Some(record) = self.records.recs.get_mut(&id).filter(|r| r.head.len > 0) else { continue };
+            if !record.head.sound(&body) {
+                sound = false;
+                continue;
+            }
+            record.body = Some(body);
+            self.missing.remove(&id);
+        }
+        sound
+    }
+
+    /// Whether every record has its bytes, here or held by the replica itself;
+    /// those that have not are missing from now on.
+    pub fn has_all_bodies(&mut self, held: impl Fn(&Head) -> bool) -> bool {
+        if self.missing.is_empty() {
+            let lacks = |record: &&Rec| record.bytes().is_none() && !held(&record.head);
+            self.missing = self.records.recs.values().filter(lacks).map(|record| record.head.id.clone()).collect();
+        }
+        self.missing.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/waitlist/src/store/append.rs
@@ -0,0 +1,175 @@
+//! Operations sent to the mates, their acknowledgements, and what stands.
+use crate::prelude::*;
+
+impl Store {
+    /// Sends each mate what it lacks of the latest ops.
+    pub(super) fn spread(&mut self, place: &Place) {
+        let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
+        for mate in own.mates.keys().cloned().collect::<Vec<_>>() {
+            self.spread_to(place, &mate);
+        }
+    }
+
+    fn spread_to(&mut self, place: &Place, mate: &Daemon) {
+        let Some(p) = self.parts.get_mut(place) else { return };
+        let Some(own) = p.own.as_mut() else { return };
+        let top = p.n;
+        let epoch = own.epoch;
+        let Some(have) = own.sibs.get(mate).and_then(|s| s.have) else { return };
+        let sent = own.sibs.get(mate).map_or(have, |s| s.sent).max(have);
+        if sent >= top || sent - have > 4 * 1024 {
+            return;
+        }
+        let Some(ops) = own.ops_from(sent + 1, top) else {
+            // Too far behind for the ops kept: it copies the whole.
+            if let Some(s) = own.sibs.get_mut(mate) {
+                (s.have, s.short) = (None, true);
+            }
+            return;
+        };
+        if let Some(s) = own.sibs.get_mut(mate) {
+            s.sent = sent + ops.len() as u64;
+            if s.sent < top {
+                self.dirty.insert(place.clone());
+            }
+        }
+        self.say(mate, Msg::Append { place: place.clone(), epoch, first: sent + 1, ops });
+    }
+
+    pub(super) fn on_append(&mut self, from: Daemon, place: Place, epoch: Epoch, first: u64, ops: Vec<Op>, now: Time) {
+        // Unacknowledged, the second copy goes to another sibling.
+        if self.refuses_writes() {
+            return;
+        }
+        let p = self.parts.entry(place.clone()).or_default();
+        if epoch < p.promised {
+            let promised = p.promised;
+            self.counts.fenced += 1;
+            return self.say(&from, Msg::Refused { place, promised });
+        }
+        if p.installed != epoch || first > p.n + 1 {
+            let (installed, n) = (p.installed, p.n);
+            return self.say(&from, Msg::Gap { place, epoch, installed, n });
+        }
+        let home = self.ledger.next();
+        for (at, op) in ops.into_iter().enumerate() {
+            let n = first + at as u64;
+            if n <= p.n {
+                continue;
+            }
+            if let Op::Put(head, _, body) = &op {
+                if !head.sound(body) {
+                    break;
+                }
+            }
+            self.held_bytes += p.apply(&place, &op, home, now, &mut self.ledger);
+            self.cache.note(&place, &op);
+            p.n = n;
+            self.ledger.push(Line::Op { place: place.clone(), n, op });
+        }
+        let upto = p.n;
+        self.later(Then::Ack { to: from, place, epoch, upto });
+    }
+
+    pub(super) fn on_appended(&mut self, from: Daemon, place: Place, epoch: Epoch, upto: u64, mark: Mark, now: Time) {
+        let Some(p) = self.parts.get_mut(&place) else { return };
+        let top = p.n;
+        let Some(own) = p.own.as_mut() else { return };
+        if own.epoch != epoch || upto > top {
+            return;
+        }
+        let counts = own.counts(&from, mark);
+        // The last op it lacks must be kept, if it lacks any.
+        let kept = upto == top || own.op(upto + 1, top).is_some();
+        let sib = own.sibs.entry(from.clone()).or_default();
+        sib.short = !kept;
+        sib.heard = now;
+        sib.mark = mark;
+        let first = sib.have.is_none();
+        sib.have = Some(sib.have.unwrap_or(0).max(upto));
+        sib.sent = sib.sent.max(upto);
+        if first {
+            sib.sent = upto;
+        }
+        if !counts {
+            if !own.covers(&from, upto) {
+                // Made for an earlier replacement: it is copied once more.
+                let Some(sib) = own.sibs.get_mut(&from) else { return };
+                (sib.have, sib.short, sib.asked) = (None, true, Time(0));
+                return;
+            }
+            // A copy made whole under a new mark: placement may count it now.
+            if own.whole.insert(from, mark) != Some(mark) {
+                self.link.hurry(now);
+            }
+            return;
+        }
+        own.whole.remove(&from);
+        own.end_copying(&from);
+        self.dirty.insert(place.clone());
+        self.commit(&place, now);
+    }
+
+    pub(super) fn on_gap(&mut self, from: Daemon, place: Place, epoch: Epoch, installed: Epoch, n: u64, now: Time) {
+        let Some(own) = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()) else { return };
+        if own.epoch != epoch {
+            return;
+        }
+        let was = own.was;
+        let mark = own.set.iter().find(|s| s.0 == from).map_or(Mark(0), |s| s.1);
+        let Some(sib) = own.sibs.get_mut(&from) else { return };
+        sib.heard = now;
+        if installed == epoch {
+            sib.sent = n;
+            sib.have = sib.have.map(|h| h.min(n));
+            self.dirty.insert(place);
+            return;
+        }
+        sib.have = None;
+        sib.asked = now;
+        self.say(&from, Msg::Lag { place, epoch, was, mark, short: false });
+    }
+
+    pub(super) fn own_durable(&mut self, place: &Place, epoch: Epoch, upto: u64, now: Time) {
+        let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
+        if own.epoch != epoch {
+            return;
+        }
+        own.adopted = true;
+        own.durable = own.durable.max(upto);
+        self.commit(place, now);
+    }
+
+    /// What is synced here and on enough counting siblings, one of them in
+    /// another zone, stands.
+    pub(super) fn commit(&mut self, place: &Place, now: Time) {
+        let zone = self.startup.me.zone.clone();
+        let members = &self.link.members;
+        let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
+        if !own.adopted {
+            return;
+        }
+        let leaves = |d: &Daemon| own.swap.as_ref().is_some_and(|s| s.0 == *d);
+        let far = |d: &Daemon| members.get(d).is_some_and(|m| m.zone != zone);
+        let mut copies: Vec<(u64, bool)> = own
+            .sibs
+            .iter()
+            .filter(|(d, s)| own.counts(d, s.mark) && !leaves(d))
+            .filter_map(|(d, s)| Some((s.have?, far(d))))
+            .collect();
+        copies.sort_by(|a, b| b.cmp(a));
+        let Some(enough) = copies.get(own.mates_needed() - 1).map(|c| c.0) else { return };
+        let Some(elsewhere) = copies.iter().filter(|c| c.1).map(|c| c.0).max() else { return };
+        let best = enough.min(elsewhere);
+        if own.phase == Phase::Spreading {
+            self.turn(place, Phase::Serving, now);
+        }
+        let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
+        own.committed = own.committed.max(best.min(own.durable));
+        let rest = own.waits.split_off(&(own.committed + 1));
+        let done = std::mem::replace(&mut own.waits, rest);
+        for wait in done.into_values().flatten() {
+            self.committed(place, wait, now);
+        }
+    }
+}
--- a/crates/waitlist/tests/snapshot.rs
+++ b/crates/waitlist/tests/snapshot.rs
@@ -26,3 +26,16 @@
     stores.run_until_whole(Span::secs(4));
     assert!(stores.largest <= 1 << 20, "{} bytes in one message", stores.largest);
 }
+
+/// A store that was away for a while has nearly all: bytes that it holds are
+/// not sent again.
+#[test]
+fn bytes_that_a_store_holds_are_not_sent_again() {
+    let mut stores = Loaded::with_messages(2, 600);
+    stores.cut_off(Span::secs(3));
+    let before = stores.sent_to_replica;
+    stores.run_until_whole(Span::secs(4));
+    let sent = stores.sent_to_replica - before;
+    assert!(sent < 1_000_000, "{sent} bytes sent to a store that held nearly all");
+    stores.assert_same();
+}
