A success that its head tells stands, whatever becomes of its body

Cause: status, id and seal of a success were read, and the run was taken for a doubt when its body broke off or its limit came; the message ran again 120 ms later. Change: the head of an answer is kept while its body is read; for a run with a seal it is the reply. Other ends stay in doubt without their body. Event 504 says whether a head came.

--- a/crates/shell/src/pool.rs
+++ b/crates/shell/src/pool.rs
@@ -47,6 +47,8 @@
 pub struct Loss {
     /// Bytes of the answer that were read.
     pub read: u64,
+    /// The status of the answer, if its head came in.
+    pub status: Option<http::StatusCode>,
     /// Why there were no more.
     pub why: String,
 }
@@ -59,6 +61,8 @@
     /// takes its place.
     driver: Option<Driver<TokioIo<GuardedStream>, Full<Bytes>>>,
     exchange: Arc<Exchange>,
+    /// The head of the answer under way, once that was read.
+    head: Option<ResponseHead>,
     /// Its driver has ended.
     over: bool,
     /// No other request may be sent.
@@ -74,7 +78,7 @@
         let exchange = Arc::new(Exchange::default());
         let stream = GuardedStream::new(stream, exchange.clone());
         let (sender, driver) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-        Ok(Connection { sender, driver: Some(driver), exchange, over: false, read_only: false, quiet: QUIET - AHEAD })
+        Ok(Connection { sender, driver: Some(driver), exchange, head: None, over: false, read_only: false, quiet: QUIET - AHEAD })
     }
 
     /// Sends a request, no byte of it at `end` or later, and reads the whole
@@ -115,15 +119,23 @@
 
     /// How far the last request came, and why no further.
     pub fn loss(&self, why: String) -> Loss {
-        Loss { read: self.exchange.read(), why }
+        Loss { read: self.exchange.read(), status: self.head.as_ref().map(ResponseHead::status), why }
+    }
+
+    /// The head of an answer that did not come in whole.
+    pub fn take_head(&mut self) -> Option<ResponseHead> {
+        self.head.take()
     }
 
     /// The whole response, or why there is none.
     async fn exchanged(&mut self, request: Out) -> Result<Response, String> {
+        self.head = None;
         let sent = self.sender.try_send_request(request);
+        let read_head = &mut self.head;
         let mut asked = pin!(async move {
             let sent = sent.await.map_err(|e| described(e.error()))?;
             let (head, body) = sent.into_parts();
+            *read_head = Some(ResponseHead::from_parts(head.clone(), ()));
             let body = read_to_end(body).await.map_err(|e| described(&e))?;
             Ok(Response::from_parts(head, body))
         });
--- a/crates/shell/src/speech.rs
+++ b/crates/shell/src/speech.rs
@@ -6,6 +6,8 @@
 
 pub type Request = http::Request<Bytes>;
 pub type Response = http::Response<Bytes>;
+/// A response without its body.
+pub type ResponseHead = http::Response<()>;
 
 /// What a request means.
 #[allow(clippy::large_enum_variant)]
@@ -37,6 +39,11 @@
     /// address. `Err` is the reply to a call that can't be put into words.
     fn request(&self, call: &Call) -> Result<Request, Reply>;
     fn reply(&self, call: &Call, response: Response) -> Meant;
+    /// What a response says by its head alone, whatever becomes of its body;
+    /// `None` where the body is needed, or the head leaves the end in doubt.
+    fn reply_by_head(&self, _call: &Call, _head: ResponseHead) -> Option<Reply> {
+        None
+    }
     /// Whether a response says that it is for another call. The call's own may
     /// still come after it.
     fn is_anothers(&self, _call: &Call, _response: &Response) -> bool {
