--- a/crates/waitlist/src/store/mates.rs
+++ b/crates/waitlist/src/store/mates.rs
@@ -10,6 +10,8 @@
 /// A store that has to be made whole for its seat, after this.
 const SEAT_ASKED_AGAIN: Span = Span::secs(1);
 const SEAL_ASKED_AGAIN: Span = Span::secs(1);
+/// A partition that has too few copies for so long is told of.
+const SHORT_TOLD: Span = Span::secs(3);
 
 impl Store {
     /// Chooses the siblings that get every op, as many as must have it beside
@@ -90,6 +92,7 @@
         for sibling in to_copy {
             self.offer_copy(place, sibling);
         }
+        self.watch_copies(place, now);
         self.dirty.insert(place.clone());
         let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
         if lost.is_some() || own.mates.len() < own.mates_needed() {
@@ -152,6 +155,35 @@
         to_copy
     }
 
+    /// Stores of the set whose present folder is not the one that counts. One
+    /// that is away may come back with its folder: it is not among them.
+    pub(super) fn seats_without_copy(&self, own: &Keep) -> Vec<Daemon> {
+        let lost = |seat: &&(Daemon, Mark)| self.link.members.get(&seat.0).is_none_or(|member| member.disk != seat.1);
+        own.set.iter().filter(lost).map(|seat| seat.0.clone()).collect()
+    }
+
+    /// Notes since when copies are lacking, and tells of it when it lasts.
+    fn watch_copies(&mut self, place: &Place, now: Time) {
+        let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
+        let (short, lacking) = (own.short, self.seats_without_copy(own));
+        let names: Vec<String> = lacking.iter().map(Daemon::to_string).collect();
+        let next = match short {
+            _ if lacking.is_empty() => None,
+            None => Some(ShortOfCopies { since: now, told: false }),
+            Some(known) => Some(ShortOfCopies { told: known.told || now.since(known.since) > SHORT_TOLD, ..known }),
+        };
+        let (was_told, is_told) = (short.is_some_and(|s| s.told), next.is_some_and(|s| s.told));
+        if is_told && !was_told {
+            self.note(Note::FewCopies, format!("{place} lacks {}", names.join(", ")));
+        }
+        if was_told && next.is_none() {
+            self.note(Note::AllCopies, place.to_string());
+        }
+        if let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) {
+            own.short = next;
+        }
+    }
+
     /// Stores of the set that were never fenced may have come back since.
     fn seal_unfenced(&mut self, place: &Place, now: Time) {
         let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
--- a/crates/waitlist/tests/replacement.rs
+++ b/crates/waitlist/tests/replacement.rs
@@ -36,6 +36,8 @@
     /// What the keeper last reported.
     report: Report,
     accepted: BTreeSet<u64>,
+    /// Stores started as yet: the version of the list of members.
+    starts: u64,
     asked: u64,
 }
 
@@ -54,6 +56,7 @@
             swap: None,
             report: Report::default(),
             accepted: BTreeSet::new(),
+            starts: 0,
             asked: 0,
         };
         for name in set.iter().copied().chain([JOINER]) {
@@ -75,6 +78,7 @@
         let none: Vec<(String, Bytes)> = Vec::new();
         let (core, out) = Store::new(settings, &none, mark, self.now);
         self.cores.insert(daemon(name), core);
+        self.starts += 1;
         self.obey(&daemon(name), out);
     }
     fn mark(&self, name: &str) -> Mark {
@@ -104,7 +108,8 @@
         let members = self.cores.iter().map(|(d, core)| Member { disk: core.mark, ..in_own_zone(d.as_str()) }).collect();
         let version = Version { term: Term(1), count: 1 };
         let rules = json_of_rules();
-        let items = vec![(version, Item::Members(members)), (version, Item::Charter(rules))];
+        let listed = Version { count: self.starts, ..version };
+        let items = vec![(listed, Item::Members(members)), (version, Item::Charter(rules))];
         let mut grants = Vec::new();
         if *to == daemon(KEEPER) && !self.set.is_empty() {
             self.report = report.unwrap_or_default();
@@ -308,3 +313,28 @@
     s.run(1_500);
     assert_eq!((s.keeper().phase, s.has(LEAVER)), (Phase::Serving, 20));
 }
+
+/// What the keeper tells operators of its partition.
+fn status(s: &mut Stores) -> String {
+    let keeper = s.cores.get_mut(&daemon(KEEPER)).unwrap();
+    let out = keeper.step(Event::Ask(AskId(1), Ask::Status), s.now);
+    out.into_iter().find_map(|e| if let Effect::Tell(_, v) = e { Some(v.json) } else { None }).unwrap()
+}
+
+#[test]
+fn operators_are_told_which_copies_are_lacking_and_for_how_long() {
+    let mut s = Stores::new();
+    assert!(status(&mut s).contains(r#""lacks_copies_at":[]"#));
+    s.hand_in(20);
+    s.cut.insert(daemon(LEAVER));
+    s.start_empty(LEAVER, Mark(4711));
+    s.run(2_000);
+    let told = status(&mut s);
+    assert!(told.contains(r#""lacks_copies_at":["store-2"]"#), "{told}");
+    assert!(!told.contains(r#""lacks_copies_ms":null"#), "{told}");
+    s.cut.clear();
+    s.run(1_500);
+    s.set[1] = (daemon(LEAVER), Mark(4711));
+    s.run(1_000);
+    assert!(status(&mut s).contains(r#""lacks_copies_ms":null"#));
+}
