--- a/programs/src/fleet/soak.rs
+++ b/programs/src/fleet/soak.rs
@@ -1,6 +1,7 @@
 //! Troubles for a soak, drawn from a seed: kills, planned ends, pauses, cuts,
 //! lost answers, signals and changes of the charter, two or three of them at a
-//! time; at times one strikes a daemon as soon as the last on it is over.
+//! time; at times one strikes a daemon as soon as the last on it is over. Beside
+//! them the stores lose their disks in turn.
 use crate::fleet::prelude::*;
 use std::ops::Range;
 
@@ -8,6 +9,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     pub daemons: Vec<String>,
+    /// Those of the daemons that lose their disks.
+    pub stores: Vec<String>,
     pub workers: Vec<String>,
 }
 
@@ -19,6 +22,10 @@
 const LASTS: Range<f64> = 1.0..5.0;
 /// In a series, the next strikes so many seconds after the one before is over.
 const AT_ONCE: f64 = 0.3;
+/// Between two losses of a disk. The next waits besides until every partition
+/// has all its copies again: more than one at a time is not borne.
+const BETWEEN_WIPES: Range<f64> = 6.0..9.0;
+const WIPE_LASTS: Range<f64> = 0.5..2.0;
 const ZONES: [&str; 3] = ["z1", "z2", "z3"];
 
 /// Draws troubles for so many seconds of load. Of one daemon or worker no two
@@ -43,10 +50,33 @@
         }
         at += within(&mut rng, BETWEEN);
     }
+    let wipes = lost_disks(&mut rng, last, &targets.stores);
+    faults.retain(|fault| !wipes.iter().any(|wipe| strike_together(fault, wipe)));
+    faults.extend(wipes);
     faults.sort_by(|a, b| a.at.total_cmp(&b.at));
     faults
 }
 
+/// Whether two troubles strike the same daemon at one time.
+fn strike_together(one: &Fault, other: &Fault) -> bool {
+    let end = |fault: &Fault| fault.at + fault.back.unwrap_or(0.0) + AT_ONCE;
+    one.who == other.who && one.at < end(other) && other.at < end(one)
+}
+
+/// The stores lose their disks one after the other.
+fn lost_disks(rng: &mut fastrand::Rng, last: f64, stores: &[String]) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut at = CALM_BEFORE + within(rng, LASTS);
+    for store in stores.iter().cycle().skip(rng.usize(..stores.len().max(1))) {
+        if at >= last {
+            break;
+        }
+        faults.push(Fault { verb: Verb::Wipe, who: store.clone(), at, back: Some(within(rng, WIPE_LASTS)) });
+        at += within(rng, BETWEEN_WIPES);
+    }
+    faults
+}
+
 /// At times a daemon that has just come back is struck once more.
 fn next_of_series(rng: &mut fastrand::Rng, first: &Fault, last: f64) -> Option<Fault> {
     let strikes = [Verb::Kill, Verb::Term, Verb::Freeze, Verb::Hup];
--- a/programs/tests/soak.rs
+++ b/programs/tests/soak.rs
@@ -5,7 +5,7 @@
 
 fn targets() -> Targets {
     let named = |kind: &str| (1..=3).map(|n| format!("{kind}-{n}")).collect::<Vec<_>>();
-    Targets { daemons: [named("store"), named("delivery")].concat(), workers: named("postings") }
+    Targets { daemons: [named("store"), named("delivery")].concat(), stores: named("store"), workers: named("postings") }
 }
 
 #[test]
@@ -49,3 +49,16 @@
     assert_eq!(violations(&dir).unwrap(), [format!("invariant: store-2: {line}")]);
     std::fs::remove_dir_all(&dir).unwrap();
 }
+
+#[test]
+fn stores_lose_their_disks_in_turn() {
+    for seed in 0..50 {
+        let faults = draw_soak(seed, 40, &targets());
+        let wiped: Vec<&Fault> = faults.iter().filter(|f| f.verb == Verb::Wipe).collect();
+        assert!(wiped.len() >= 3, "seed {seed}: {wiped:?}");
+        for pair in wiped.windows(2) {
+            assert_ne!(pair[0].who, pair[1].who, "seed {seed}");
+            assert!(pair[1].at - pair[0].at >= 6.0, "seed {seed}: {pair:?}");
+        }
+    }
+}
