--- /dev/null
+++ b/crates/delivery/tests/told/mod.rs
@@ -0,0 +1,172 @@
+//! A delivery's core that tests tell things.
+#![allow(dead_code)]
+use dw_delivery::prelude::*;
+
+pub const NOW: Time = Time::millis(10_000);
+const TERM: Term = Term(1);
+const ROUTES: &str = r#"{"revision": 1, "spool": 1,
+  "services": [{"name": "sheets", "slots": 4}],
+  "routes": [{"name": "bulk", "host": "h", "prefix": "/", "service": "sheets", "attempts": 3,
+              "attempt_ms": 1000, "worth_ms": 60000}]}"#;
+const NO_ROUTES: &str = r#"{"revision": 2, "spool": 1, "services": [{"name": "sheets", "slots": 4}], "routes": []}"#;
+
+fn daemon(name: &str) -> Daemon {
+    Daemon(name.to_string())
+}
+
+fn place() -> Place {
+    Place { tenant: "~".into(), waitlist: "spool".into(), part: 0 }
+}
+
+fn epoch(count: u64) -> Epoch {
+    Epoch { term: TERM, count }
+}
+
+fn member(name: &str) -> Member {
+    Member {
+        id: daemon(name),
+        zone: Zone("z1".into()),
+        addr: format!("{name}:1"),
+        http: String::new(),
+        life: Mark(1),
+        disk: Mark(0),
+        machine: String::new(),
+    }
+}
+
+fn worker() -> Worker {
+    Worker {
+        id: WorkerId("w1".into()),
+        service: "sheets".into(),
+        addr: "10.0.0.1:80".into(),
+        zone: Zone("z1".into()),
+        draining: false,
+        age: Span::secs(60),
+        slots: 1,
+        cold: Span::ZERO,
+    }
+}
+
+/// What placement tells.
+#[derive(Clone, Copy, Debug)]
+pub struct Known {
+    /// Which store keeps the partition.
+    pub keeper: u64,
+    /// The worker is on the list.
+    pub worker: bool,
+    /// The route is in force.
+    pub route: bool,
+    /// The delivery may send to the worker.
+    pub granted: bool,
+}
+
+/// A delivery that is told things, and the attempts that it began.
+pub struct Told {
+    core: Delivery,
+    pub now: Time,
+    asked: Time,
+    /// News told as yet.
+    told: u64,
+    pub begun: Vec<(CallId, Call)>,
+    pub holding: Vec<Holding>,
+    pub settled: Vec<Settled>,
+}
+
+impl Told {
+    pub fn new() -> Told {
+        let startup = Startup {
+            me: member("delivery-1"),
+            seeds: vec![daemon("placement-1")],
+            pull: Span::millis(300),
+            terms: Terms::default(),
+            hands_max: 64,
+            seed: 1,
+        };
+        let mut told = Told {
+            core: Delivery::new(startup, NOW),
+            now: NOW,
+            asked: NOW,
+            told: 0,
+            begun: Vec::new(),
+            holding: Vec::new(),
+            settled: Vec::new(),
+        };
+        told.run(Span::millis(400));
+        told
+    }
+
+    pub fn step(&mut self, event: Event) {
+        for effect in self.core.step(event, self.now) {
+            match effect {
+                Effect::Call(id, call) if matches!(call.errand, Errand::Run { .. }) => self.begun.push((id, call)),
+                Effect::Say(_, Msg::Need { asked, .. }) => self.asked = asked,
+                Effect::Say(_, Msg::Room { holding, .. }) => self.holding = holding,
+                Effect::Say(_, Msg::Settled { all }) => self.settled.extend(all),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += Span::millis(20);
+            self.step(Event::Clock);
+        }
+    }
+
+    /// News of the partition's keeper, and of the worker from `workers` 2 on.
+    pub fn news(&mut self, keeper: u64, workers: u64) {
+        self.tell(Known { keeper, worker: workers > 1, route: true, granted: true });
+    }
+
+    pub fn tell(&mut self, known: Known) {
+        self.told += 1;
+        let version = Version { term: TERM, count: self.told };
+        let placing = Placing { keeper: daemon(&format!("store-{}", known.keeper)), epoch: epoch(known.keeper) };
+        let charter = if known.route { ROUTES } else { NO_ROUTES };
+        let items = vec![
+            (version, Item::Charter(charter.to_string())),
+            (version, Item::Members(vec![member("delivery-1"), member("store-1"), member("store-2")])),
+            (version, Item::Places(vec![(place(), placing)])),
+            (version, Item::Workers(known.worker.then(worker).into_iter().collect())),
+        ];
+        let duty = Duty::of_worker(&worker().zone, &worker().id);
+        let (set, swap_number) = (Vec::new(), Version::ZERO);
+        let grant = Grant { duty, epoch: epoch(1), set, swap: None, swap_number, shed: false, slice: None };
+        let grants = known.granted.then_some(grant).into_iter().collect();
+        let (asked, fresh) = (self.asked, Some(Span::secs(2)));
+        let msg = Msg::News { asked, term: TERM, fresh, items, grants, late: Vec::new() };
+        self.step(Event::Hear { from: daemon("placement-1"), msg });
+    }
+
+    /// The first keeper hands out an attempt; no worker is there for it yet.
+    pub fn offer(&mut self) {
+        self.offer_by("bulk");
+    }
+
+    pub fn offer_by(&mut self, route: &str) {
+        let body = Bytes::from_static(b"body");
+        let head = Head {
+            id: MessageId("0-1".into()),
+            crc: crc32(&body),
+            len: body.len() as u32,
+            route: route.into(),
+            parcel: Some(Box::default()),
+            ..Head::default()
+        };
+        let offer = Offer {
+            duty: Duty::Reach(String::new()),
+            place: place(),
+            head,
+            stage: Stage::Work,
+            epoch: epoch(1),
+            attempt: 1,
+            body,
+            goal: Some(Goal::Service("sheets".into())),
+            limit: Span::secs(1),
+        };
+        let msg = Msg::Offers { asked: self.now, all: vec![offer] };
+        self.step(Event::Hear { from: daemon("store-1"), msg });
+    }
+}
