--- /dev/null
+++ b/crates/delivery/src/run/rooms.rs
@@ -0,0 +1,86 @@
+//! What this daemon takes from each keeper, and how it tells them.
+use crate::prelude::*;
+
+/// What one keeper is told: room for each duty, and the epochs known.
+type Rooms = (Vec<Room>, Vec<(Place, Epoch)>);
+
+impl Delivery {
+    pub(super) fn room(&mut self, duty: &Duty, now: Time) -> u32 {
+        if self.leaving.is_some() || self.shedding.contains(duty) || self.hands.len() >= self.startup.hands_max {
+            return 0;
+        }
+        match duty {
+            Duty::Keep(_) | Duty::Reach(_) => 0,
+            Duty::Deliver(place) => {
+                let Some(rule) = self.link.rules.rule_of(place) else { return 0 };
+                let Target::Workers(service) = &rule.target else { return 0 };
+                let full = self.full(service);
+                let fit = || self.workers.values().filter(|w| w.info.service == *service && w.usable(&self.link, now));
+                if fit().next().is_none() {
+                    return 0;
+                }
+                let slice =
+                    self.slices.get(duty).copied().or_else(|| self.slices_of(service).first().copied()).unwrap_or_default();
+                let mine: u32 = fit().map(|w| slice.of(w.ramp.slots(full, now), w.turn)).sum();
+                // Twice what can run, so a free slot never waits for a trip.
+                (mine * 2).clamp(1, 64)
+            }
+            Duty::Endpoint(name) => {
+                let slots = self.link.rules.endpoints.get(name).map_or(1, |e| e.slots);
+                let Some(desk) = self.desks.get_mut(name) else { return 0 };
+                if desk.breaker.open(now) {
+                    return 0;
+                }
+                if desk.breaker.wary() {
+                    return 1;
+                }
+                // A second's worth from each store: so all tenants' messages
+                // stand here to take their turns.
+                slots.min(desk.allowance.pace() as u32).max(1)
+            }
+        }
+    }
+
+    /// Tells each keeper how much it may hand over, and what is in hand.
+    pub(super) fn send_rooms(&mut self, now: Time) {
+        self.roomed = now;
+        if !self.link.fresh(now) {
+            return;
+        }
+        let mut by: BTreeMap<Daemon, Rooms> = BTreeMap::new();
+        for (p, x) in &self.link.places {
+            by.entry(x.keeper.clone()).or_default().1.push((p.clone(), x.epoch));
+        }
+        for (duty, epoch) in self.link.held.live(now) {
+            if matches!(duty, Duty::Reach(_)) {
+                continue;
+            }
+            let room = self.room(&duty, now);
+            let since = self.link.since.get(&duty).map_or(Span::ZERO, |t| now.since(*t));
+            let one = Room { duty: duty.clone(), epoch, room, since };
+            for (keeper, (rooms, places)) in by.iter_mut() {
+                let here = match &duty {
+                    Duty::Deliver(p) => self.link.places.get(p).is_some_and(|x| x.keeper == *keeper),
+                    _ => !places.is_empty(),
+                };
+                if here {
+                    rooms.push(one.clone());
+                }
+            }
+        }
+        let reach = self.reach(by.len(), now);
+        for (keeper, (duties, places)) in by {
+            if duties.is_empty() && reach.is_none() {
+                continue;
+            }
+            let here: BTreeSet<&Place> = places.iter().map(|p| &p.0).collect();
+            let holding = self
+                .hands
+                .values()
+                .filter(|h| here.contains(&h.offer.place))
+                .map(|h| Holding { place: h.offer.place.clone(), id: h.offer.head.id.clone() })
+                .collect();
+            self.say(&keeper, Msg::Room { asked: now, duties, places, holding, reach: reach.clone() });
+        }
+    }
+}
