A copy that lacks what its source has not asks again later, not at once

Found by reading: with a message whose bytes no replica can give, the copy asked again at each answer. Such a copy still waits for those bytes (open).

--- a/crates/waitlist/src/partial_copy.rs
+++ b/crates/waitlist/src/partial_copy.rs
@@ -22,11 +22,15 @@
     spare: BTreeMap<MessageId, Bytes>,
 }
 
-/// Why a part was not taken.
+/// What a part did for a copy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Untaken {
-    /// It answers an earlier question.
+pub enum Taken {
+    /// It answers an earlier question, and was not taken.
     Late,
+    /// It brought records or bytes, or nothing is lacking.
+    Onward,
+    /// The source has not what is lacking, as yet.
+    InVain,
 }
 
 impl PartialCopy {
@@ -77,12 +81,13 @@
 
     /// Takes the next part. `held` says whether the replica itself holds a
     /// message's bytes.
-    pub fn take(&mut self, place: &Place, part: CopyPart, held: impl Fn(&Head) -> bool, now: Time) -> Result<(), Untaken> {
+    pub fn take(&mut self, place: &Place, part: CopyPart, held: impl Fn(&Head) -> bool, now: Time) -> Taken {
         if part.from.is_none() {
             *self = PartialCopy::after(std::mem::take(self));
         } else if part.from != self.position {
-            return Err(Untaken::Late);
+            return Taken::Late;
         }
+        let brings = part.from.is_none() || !part.records.is_empty() || !part.bodies.is_empty() || !part.complete;
         for op in &part.ops {
             self.apply(place, op, now);
         }
@@ -96,7 +101,10 @@
             self.put(head, *stage, &held, now);
         }
         (self.n, self.next, self.complete) = (part.n, part.next, part.complete);
-        Ok(())
+        match brings || self.missing.is_empty() {
+            true => Taken::Onward,
+            false => Taken::InVain,
+        }
     }
 
     fn apply(&mut self, place: &Place, op: &Op, now: Time) {
--- a/crates/waitlist/src/store/copy_source.rs
+++ b/crates/waitlist/src/store/copy_source.rs
@@ -66,6 +66,10 @@
         if self.read_back(&place, &bodies.on_disk, who) {
             return;
         }
+        // Too much is being read back now: it asks again.
+        if bodies.here.is_empty() && !bodies.on_disk.is_empty() {
+            return;
+        }
         self.counts.bodies_sent += bodies.here.len() as u64;
         let part = Box::new(self.parts[&place].copy_part(request.position, bodies.here));
         if let Some(own) = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()) {
--- a/crates/waitlist/tests/loaded/mod.rs
+++ b/crates/waitlist/tests/loaded/mod.rs
@@ -41,6 +41,8 @@
     pub largest: usize,
     /// Bytes that the keeper sent to the replica.
     pub sent_to_replica: usize,
+    /// Parts of copies that it sent.
+    pub parts: usize,
 }
 
 impl Loaded {
@@ -61,6 +63,7 @@
             report: Report::default(),
             largest: 0,
             sent_to_replica: 0,
+            parts: 0,
         };
         for n in 1..=stores {
             all.start_empty(&format!("store-{n}"), Mark(n));
@@ -100,6 +103,17 @@
         self.start_empty(replica.as_str(), Mark(22));
     }
 
+    /// One message's bytes are altered at the keeper, and no other store has
+    /// them.
+    pub fn alter_one(&mut self) {
+        self.queue.clear();
+        let id = self.under_way.pop_front().expect("one under way").head.id;
+        for core in self.cores.values_mut() {
+            let Some(record) = core.parts.get_mut(&place()).and_then(|part| part.recs.get_mut(&id)) else { continue };
+            record.body = Some(Bytes::from_static(b"altered"));
+        }
+    }
+
     /// The keeper reaches no other store for a while, in which half as many
     /// messages come in.
     pub fn cut_off(&mut self, span: Span) {
@@ -153,7 +167,7 @@
         }
     }
 
-    fn run(&mut self, span: Span) {
+    pub fn run(&mut self, span: Span) {
         let end = self.now + span;
         while self.now < end {
             self.step();
@@ -182,6 +196,7 @@
         for effect in out {
             match effect {
                 Effect::Note(note, _) => self.notes.push(note),
+                Effect::Load { n, .. } => self.queue.push_back((id.clone(), Event::Loaded(n, None))),
                 Effect::Save { n, .. } => self.queue.push_back((id.clone(), Event::Saved(n))),
                 Effect::Say(_, Msg::Need { asked, report, .. }) => self.answer(id, asked, report),
                 Effect::Say(_, Msg::Offers { all, .. }) => self.under_way.extend(all),
@@ -195,6 +210,7 @@
     fn carry(&mut self, from: &Daemon, to: Daemon, msg: Msg) {
         let size = encode(&msg).len();
         self.largest = self.largest.max(size);
+        self.parts += usize::from(matches!(msg, Msg::CopyPart { .. }));
         if *from == daemon(KEEPER) && to == self.replica {
             self.sent_to_replica += size;
         }
--- a/crates/waitlist/tests/snapshot.rs
+++ b/crates/waitlist/tests/snapshot.rs
@@ -39,3 +39,15 @@
     assert!(sent < 1_000_000, "{sent} bytes sent to a store that held nearly all");
     stores.assert_same();
 }
+
+/// What the source has not is asked for again and again, but not at once.
+#[test]
+fn a_copy_that_lacks_what_nobody_has_does_not_press_its_source() {
+    let mut stores = Loaded::with_messages(2, 50);
+    stores.alter_one();
+    stores.lose_disk();
+    stores.run(Span::secs(1));
+    let before = stores.parts;
+    stores.run(Span::secs(4));
+    assert!((1..=20).contains(&(stores.parts - before)), "{} parts in 4 s", stores.parts - before);
+}
