--- a/crates/waitlist/src/store/attempt_ends.rs
+++ b/crates/waitlist/src/store/attempt_ends.rs
@@ -3,8 +3,12 @@
 use crate::prelude::*;
 
 impl Store {
-    /// Attempts whose end passed without a word: their messages go on.
+    /// Attempts whose end passed without a word: their messages go on. After a
+    /// standstill the words that lie unread are heard first.
     pub(super) fn lapse_overdue(&mut self, place: &Place, now: Time) {
+        if self.standstill.is_catching_up(now) {
+            return;
+        }
         let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
         let mut over = Vec::new();
         for (seq, flight) in own.lane.overdue(now) {
@@ -52,7 +56,8 @@
     pub(super) fn judge_success(&mut self, from: &Daemon, told: &Settled, now: Time) {
         let Some(p) = self.parts.get_mut(&told.place) else { return };
         let Some(own) = p.own.as_mut() else { return };
-        let Some(late) = own.overdue.judge(told, own.epoch, own.quiet, now) else { return };
+        let unread = self.standstill.unread(now);
+        let Some(late) = own.overdue.judge(told, own.epoch, own.quiet, unread, now) else { return };
         let seq = p.recs.get(&told.id).map(|r| r.head.seq);
         let again = seq.and_then(|seq| own.lane.flights.get(&seq)).map(|f| f.attempt);
         let again = again.map_or(String::from("none under way now"), |n| format!("attempt {n} under way now"));
--- a/crates/waitlist/tests/frozen.rs
+++ b/crates/waitlist/tests/frozen.rs
@@ -5,20 +5,22 @@
 use pair::*;
 use settings::*;
 
-/// Finding of the soak (issue 32, seed 32308): the age that a delivery gives a
-/// success counts from when it was sent. Read by a store that stood still, the
-/// attempt seemed to have ended when the store woke, and an alarm said that it
-/// had run on beyond its end.
-#[test]
-fn a_success_that_waited_for_a_frozen_store_did_not_outlive_its_attempt() {
+/// A pair whose first store has handed out one message, once.
+fn handed_out() -> Pair {
     let mut pair = Pair::new();
     pair.reach(FIRST, pair.now);
     pair.carry();
     pair.run(Span::millis(100));
-    let offer = pair.offers[0].clone();
+    assert_eq!(pair.offers.len(), 1);
+    pair
+}
+
+/// The word of its delivery that the attempt succeeded just now.
+fn success(pair: &Pair) -> Event {
+    let offer = &pair.offers[0];
     let one = Settled {
         place: place(),
-        id: offer.head.id,
+        id: offer.head.id.clone(),
         epoch: offer.epoch,
         attempt: offer.attempt,
         stage: offer.stage,
@@ -26,14 +28,43 @@
         seal: "seal".into(),
         ended_ago: Span::ZERO,
     };
+    Event::Hear { from: daemon("delivery-1"), msg: Msg::Settled { all: vec![one] } }
+}
+
+/// Finding of the soak (issue 32, seed 32308): the age that a delivery gives a
+/// success counts from when it was sent. Read by a store that stood still, the
+/// attempt seemed to have ended when the store woke, and an alarm said that it
+/// had run on beyond its end.
+#[test]
+fn a_success_that_waited_for_a_frozen_store_did_not_outlive_its_attempt() {
+    let mut pair = handed_out();
+    let word = success(&pair);
     pair.run(Span::millis(1_500));
     // It is sent as the freeze begins, well before the attempt's end, and read
     // after it, behind the clock's event.
     pair.now += Span::secs(2);
     pair.step(0, Event::Clock);
-    pair.step(0, Event::Hear { from: daemon("delivery-1"), msg: Msg::Settled { all: vec![one] } });
+    pair.step(0, word);
     pair.reach(FIRST, pair.now);
     pair.run(Span::secs(1));
     assert_eq!(pair.offers.len(), 1, "it was handed out again");
     assert_eq!(pair.stores[0].counts.outlived, 0, "an alarm that lies");
+    assert_eq!(pair.stores[0].counts.lapsed, 0, "its word lay unread");
+}
+
+/// The alarm still tells the truth: without a standstill, and when the words
+/// that lay unread after one have been read.
+#[test]
+fn a_success_beyond_its_attempts_end_is_told_of() {
+    for frozen in [Span::ZERO, Span::secs(2)] {
+        let mut pair = handed_out();
+        pair.run(Span::millis(1_500));
+        pair.now += frozen;
+        pair.step(0, Event::Clock);
+        pair.run(Span::secs(4));
+        assert_eq!(pair.stores[0].counts.lapsed, 1, "after {frozen:?}");
+        let word = success(&pair);
+        pair.step(0, word);
+        assert_eq!(pair.stores[0].counts.outlived, 1, "after {frozen:?}");
+    }
 }
