--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -283,7 +283,16 @@
         let kind = kind_of(&msg);
         let me = self.shape.member(&self.nodes[at].id);
         let made = nanos();
-        let e = Envelope { speech: SPEECH, cluster: self.cluster.clone(), from: me.id, addr: me.addr, life: LIFE, to, msg };
+        let e = Envelope {
+            speech: SPEECH,
+            cluster: self.cluster.clone(),
+            from: me.id,
+            addr: me.addr,
+            life: LIFE,
+            to,
+            reads_packed: false,
+            msg,
+        };
         let frame = encode(&e);
         let spent = (nanos() - made).saturating_sub(self.cost);
         let p = self.nodes[at].meter.said.entry(kind).or_default();
