One copy stays in its keeper's zone where two are needed beside its own

Change: of mates alike those of this zone come first, one far always among them; where all are far, as after an opening, a near one is drawn in beside them and one far let go once it has caught up.

--- a/crates/waitlist/src/store/mates.rs
+++ b/crates/waitlist/src/store/mates.rs
@@ -10,6 +10,8 @@
 /// A store that has to be made whole for its seat, after this.
 const SEAT_ASKED_AGAIN: Span = Span::secs(1);
 const SEAL_ASKED_AGAIN: Span = Span::secs(1);
+/// A sibling of this zone that is no mate is drawn in once in so long.
+const NEAR_DRAWN_AGAIN: Span = Span::secs(4);
 /// A partition that has too few copies for so long is told of.
 const SHORT_TOLD: Span = Span::secs(3);
 
@@ -65,8 +67,11 @@
         let by = hash_of(place.to_string().as_bytes()) as usize % all.len();
         all.rotate_left(by);
         // Fenced ones have shown they are there; one whose folder was lost
-        // does not count until its new one is known to all.
-        all.sort_by_key(|d| own.fences.get(d).map_or(1, |f| if own.counts(d, f.mark) { 0 } else { 2 }));
+        // does not count until its new one is known to all. Of those alike the
+        // ones of this zone first: each op then leaves it as seldom as may be.
+        let fitness = |d: &Daemon| own.fences.get(d).map_or(1, |f| if own.counts(d, f.mark) { 0 } else { 2 });
+        let is_far = |d: &Daemon| zones.get(d).is_none_or(|z| *z != me.zone);
+        all.sort_by_key(|d| (fitness(d), is_far(d)));
         all
     }
 
@@ -96,8 +101,34 @@
         self.dirty.insert(place.clone());
         let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
         if lost.is_some() || own.mates.len() < own.mates_needed() {
-            self.match_mates(place, lost.as_ref(), now);
+            return self.match_mates(place, lost.as_ref(), now);
         }
+        self.draw_near(place, now);
+    }
+
+    /// Draws a sibling of this zone in where all mates stand elsewhere, as may
+    /// be after an opening or a failure: each operation crosses zones once
+    /// less. Until it has caught up it is one mate more than is needed.
+    fn draw_near(&mut self, place: &Place, now: Time) {
+        let zones: BTreeMap<Daemon, Zone> = self.link.members.values().map(|m| (m.id.clone(), m.zone.clone())).collect();
+        let here = self.startup.me.zone.clone();
+        let near = |d: &Daemon| zones.get(d).is_some_and(|z| *z == here);
+        let candidates = self.mate_candidates(place, &zones);
+        let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
+        if own.phase != Phase::Serving || own.mates_needed() < 2 {
+            return;
+        }
+        if own.mates.len() > own.mates_needed() {
+            return own.release_far_mate(near);
+        }
+        if own.mates.keys().any(near) || now.since(own.near_drawn) < NEAR_DRAWN_AGAIN {
+            return;
+        }
+        let counts = |d: &Daemon| own.fences.get(d).is_some_and(|fence| own.counts(d, fence.mark));
+        let Some(next) = candidates.into_iter().find(|d| near(d) && counts(d)) else { return };
+        own.near_drawn = now;
+        own.mates.insert(next, now);
+        own.asked = Time(0);
     }
 
     /// The mates that need a whole copy, and one that has to give way: it lags
--- a/crates/waitlist/tests/loaded/mod.rs
+++ b/crates/waitlist/tests/loaded/mod.rs
@@ -1,6 +1,7 @@
 //! Stores of one partition of routed messages under load. The first keeps it; of
 //! the others the one that gets every operation is the replica that a test takes
 //! away. What one says reaches another a step later.
+#![allow(dead_code)]
 use crate::settings::*;
 use dw_waitlist::prelude::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -21,6 +22,8 @@
 }
 
 pub struct Loaded {
+    /// Where store 1, 2 and so on stand.
+    zones: Vec<String>,
     now: Time,
     cores: BTreeMap<Daemon, Store>,
     /// What arrives in the next step.
@@ -48,7 +51,14 @@
 impl Loaded {
     /// Serving, with so many messages under way at a worker.
     pub fn with_messages(stores: u64, count: u64) -> Loaded {
+        Loaded::in_zones((1..=stores).map(|n| format!("z{n}")).collect(), count)
+    }
+
+    /// The same, with a store in each of these zones.
+    pub fn in_zones(zones: Vec<String>, count: u64) -> Loaded {
+        let stores = zones.len() as u64;
         let mut all = Loaded {
+            zones,
             now: Time::millis(1_000),
             cores: BTreeMap::new(),
             queue: VecDeque::new(),
@@ -82,7 +92,7 @@
     }
 
     fn start_empty(&mut self, name: &str, mark: Mark) {
-        let zone = name.replace("store", "z");
+        let zone = self.zone_of(name);
         let startup = Startup {
             pull: Span::millis(300),
             bytes_max: 1 << 30,
@@ -96,6 +106,22 @@
         self.obey(&daemon(name), out);
     }
 
+    fn zone_of(&self, store: &str) -> String {
+        let number: usize = store.trim_start_matches("store-").parse().expect("a numbered store");
+        self.zones[number - 1].clone()
+    }
+
+    /// Which siblings get every operation of the keeper.
+    pub fn mates(&self) -> Vec<Daemon> {
+        let own = self.cores[&daemon(KEEPER)].parts[&place()].own.as_ref().expect("a keeper");
+        own.mates.keys().cloned().collect()
+    }
+
+    /// A store is no longer reached by the others.
+    pub fn cut(&mut self, store: &Daemon) {
+        self.cut.insert(store.clone());
+    }
+
     /// The replica comes back without its disk.
     pub fn lose_disk(&mut self) {
         let replica = self.replica.clone();
@@ -221,7 +247,7 @@
     fn answer(&mut self, to: &Daemon, asked: Time, report: Option<Report>) {
         let version = Version { term: TERM, count: 1 };
         let members = self.cores.iter().map(|(id, core)| {
-            let zone = id.as_str().replace("store", "z");
+            let zone = self.zone_of(id.as_str());
             Member { disk: core.mark, ..member(id.as_str(), &zone) }
         });
         let placing = Placing { keeper: daemon(KEEPER), epoch: EPOCH };
