A message that no keeper can take is refused early, with when to come back

Cause: an ordered message whose partition has no keeper waited 500 to 600 ms for it and was refused then, or was sent to a keeper that was gone and stayed in doubt. Change: it waits through a hand-over (300 ms), after that a quarter of the time in which its verdict is wanted. A keeper without a word for 300 ms is sent one such message in 150 ms; the others are refused at once. Tests: ingest posts.rs, three.

--- a/crates/ingest/src/proxy/posts.rs
+++ b/crates/ingest/src/proxy/posts.rs
@@ -6,8 +6,6 @@
 
 /// How long callers may still be sent here after it is no longer ready.
 pub(super) const LINGER: Span = Span::millis(2600);
-/// A keeper that left a copy without a word is not asked for so long.
-const MUTE: Span = Span::secs(2);
 /// A copy without a word for this long is sent another way.
 const SECOND: Span = Span::millis(150);
 /// The last word comes no later than so many times the time wanted.
@@ -31,10 +29,6 @@
         self.startup.wall + now.since(self.startup.now).0
     }
 
-    fn muted(&self, keeper: &Daemon, now: Time) -> bool {
-        self.mute.get(keeper).is_some_and(|t| now.since(*t) < MUTE)
-    }
-
     /// A partition for a message that may be kept in any: one whose keeper
     /// answers, in this zone if there is one.
     fn free_part(&self, now: Time) -> Option<u32> {
@@ -44,7 +38,7 @@
             .filter_map(|n| {
                 let keeper = &self.link.places.get(&Rules::spool_place(n))?.keeper;
                 let zone = self.link.zone_of(keeper)?;
-                (!self.muted(keeper, now)).then_some((zone == near, n))
+                (!self.outages.avoids(keeper, now)).then_some((zone == near, n))
             })
             .collect();
         let any_near = fit.iter().any(|f| f.0);
@@ -91,6 +85,10 @@
             self.counts.refused += 1;
             return self.tell(ask, short("no store keeps messages just now"));
         };
+        if !key.is_empty() && self.keeper_is_lost(part, now) {
+            self.counts.refused += 1;
+            return self.tell(ask, short("the store that keeps this key's messages does not answer"));
+        }
         let head = Head {
             id: self.name(part),
             key,
@@ -119,7 +117,7 @@
             since: now,
             sent: now,
             tried: BTreeSet::new(),
-            post: Some(Bounds { second: SECOND, limit }),
+            post: Some(Bounds { second: SECOND, limit, wanted: route.verdict }),
             doubt: false,
         };
         let n = self.next;
@@ -130,6 +128,13 @@
         }
     }
 
+    /// Whether a message of this partition alone is refused at once, as its
+    /// keeper was silent for long.
+    fn keeper_is_lost(&mut self, part: u32, now: Time) -> bool {
+        let keeper = self.link.places.get(&Rules::spool_place(part)).map(|placing| &placing.keeper);
+        keeper.is_some_and(|keeper| self.outages.refuses(keeper, now))
+    }
+
     /// A name that nobody else gives and that leads any proxy to the keeper.
     fn name(&mut self, part: u32) -> MessageId {
         let n = self.next;
@@ -145,12 +150,11 @@
         if c.doubt || now.since(c.since) >= bounds.limit {
             return self.give_up(n);
         }
+        let keeper = self.link.places.get(&c.place).map(|placing| &placing.keeper);
         if !c.head.key.is_empty() {
-            return;
-        }
-        if let Some(k) = self.link.places.get(&c.place) {
-            self.mute.insert(k.keeper.clone(), Time(now.0.saturating_sub(MUTE.0 * 3 / 4)));
+            return self.outages.note_elsewhere(None, &c.place, now);
         }
+        self.outages.note_elsewhere(keeper, &c.place, now);
         let Some(part) = self.free_part(now) else { return self.not_kept(n) };
         let id = self.name(part);
         let Some(c) = self.carries.get_mut(&n) else { return };
--- a/crates/ingest/tests/posts.rs
+++ b/crates/ingest/tests/posts.rs
@@ -124,3 +124,77 @@
     let out = word(&mut p, &first[0], Carried::NotTaken { why: "full".into(), after: Span::secs(1), code: 503 }, now);
     assert_eq!(told(&out), Some(503));
 }
+
+/// Runs the clock on, and gives the verdict that came, with its time.
+fn run_until_told(p: &mut Proxy, mut now: Time, span: Span) -> Option<(u16, Span)> {
+    let begun = now;
+    while now.since(begun) < span {
+        now += Span::millis(20);
+        let out = p.step(Event::Clock, now);
+        if let Some(code) = told(&out) {
+            return Some((code, now.since(begun)));
+        }
+        for copy in copies(&out) {
+            if let Some(code) = told(&word(p, &copy, Carried::Elsewhere, now)) {
+                return Some((code, now.since(begun)));
+            }
+        }
+    }
+    None
+}
+
+/// The verdict is wanted within 80 ms. What is refused is refused early, but a
+/// hand-over that has just begun is waited for.
+#[test]
+fn a_message_whose_partition_has_no_keeper_is_refused_early_once_that_lasts() {
+    let mut now = Time::millis(1_000_000);
+    let mut p = proxy(now);
+    let first = copies(&post(&mut p, "/o/1", "k", now));
+    assert_eq!(told(&word(&mut p, &first[0], Carried::Elsewhere, now)), None);
+    assert_eq!(run_until_told(&mut p, now, Span::secs(2)), Some((503, Span::millis(160))));
+    now += Span::millis(400);
+    let later = copies(&post(&mut p, "/o/1", "k", now));
+    assert_eq!(told(&word(&mut p, &later[0], Carried::Elsewhere, now)), None);
+    assert_eq!(run_until_told(&mut p, now, Span::secs(2)), Some((503, Span::millis(20))));
+}
+
+#[test]
+fn a_message_waits_through_a_hand_over() {
+    let mut now = Time::millis(1_000_000);
+    let mut p = proxy(now);
+    let first = copies(&post(&mut p, "/o/1", "k", now));
+    assert_eq!(told(&word(&mut p, &first[0], Carried::Elsewhere, now)), None);
+    now += Span::millis(140);
+    let again = copies(&p.step(Event::Clock, now));
+    assert_eq!(again.len(), 1);
+    assert_eq!(first[0].2, again[0].2, "under another name");
+    let out = word(&mut p, &again[0], Carried::Accepted { stage: Stage::Work }, now);
+    assert_eq!(told(&out), Some(202));
+}
+
+#[test]
+fn a_message_that_only_a_lost_keeper_may_take_is_refused_at_once() {
+    let mut now = Time::millis(1_000_000);
+    let mut p = proxy(now);
+    let first = copies(&post(&mut p, "/o/1", "k", now));
+    let keeper = first[0].1.clone();
+    word(&mut p, &first[0], Carried::Accepted { stage: Stage::Work }, now);
+    p.step(Event::Cut(keeper.clone()), now);
+    // It may be back at once, or be reached by another way.
+    now += Span::millis(100);
+    assert_eq!(copies(&post(&mut p, "/o/1", "k", now)).len(), 1);
+    now += Span::millis(250);
+    let probe = copies(&post(&mut p, "/o/1", "k", now));
+    assert_eq!(probe.len(), 1);
+    for _ in 0..3 {
+        now += Span::millis(20);
+        let out = post(&mut p, "/o/1", "k", now);
+        assert_eq!((told(&out), copies(&out).len()), (Some(503), 0));
+    }
+    // Its word ends that.
+    let reading = Reading { life: Mark(7), at: now };
+    let clock = Some((keeper.clone(), reading));
+    let msg = Msg::Carried { ask: probe[0].0, proxy: Daemon("proxy-1".into()), via: None, word: Carried::Elsewhere, clock };
+    p.step(Event::Hear { from: keeper, msg }, now);
+    assert_eq!(copies(&post(&mut p, "/o/1", "k", now)).len(), 1);
+}
