Of a route first what can still begin in time, then keys with few waiting

Cause: the next of a key counted as fresh from when the one before it ended, so late ones took turns with those in time, and a key's backlog kept its new ones late. Change: freshness counts from hand-in and delay. Of late ones the key with the fewest waiting goes first; each fourth turn is the oldest's, as before. Tests: waitlist due.rs, six.

--- a/crates/waitlist/src/store/attempt_ends.rs
+++ b/crates/waitlist/src/store/attempt_ends.rs
@@ -47,7 +47,7 @@
         let Some(p) = self.parts.get_mut(place) else { return };
         let (Some(own), Some(r)) = (p.own.as_mut(), p.recs.get(id)) else { return };
         own.lane.ids.insert(r.head.seq, id.clone());
-        own.lane.post(&r.head.route, own.quiet.max(now), r.head.seq);
+        own.lane.post(&r.head.route, &r.head.key, own.quiet.max(now), r.head.seq);
         self.counts.stranded += 1;
         self.note(Note::Stranded, format!("{place} {id}"));
     }
--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -118,10 +118,11 @@
             }
             let held: BTreeSet<u64> = own.vouched.values().flatten().copied().collect();
             let quiet = own.quiet;
-            for (route, due) in std::mem::take(&mut own.lane.posts) {
-                for (at, seq) in due.iter() {
-                    let rests = at != quiet || held.contains(&seq);
-                    own.lane.post(&route, if rests { at } else { now }, seq);
+            for due in own.lane.posts.values_mut() {
+                let over = |one: &(Time, u64)| one.0 == quiet && !held.contains(&one.1);
+                let over: Vec<u64> = due.iter().filter(over).map(|one| one.1).collect();
+                for seq in over {
+                    due.put_off(seq, now);
                 }
             }
             for set in own.lane.calls.values_mut() {
@@ -157,7 +158,7 @@
                 continue;
             }
             for (name, due) in &own.lane.posts {
-                let Some((first, _)) = due.first().filter(|f| f.0 <= now) else { continue };
+                let Some(first) = due.oldest(now) else { continue };
                 let Some(route) = self.link.rules.routes.get(name) else { continue };
                 let line = Line { priority: route.priority, first, place: place.clone(), name: name.clone() };
                 goals.entry(Goal::Service(route.service.clone())).or_default().push(line);
@@ -216,7 +217,7 @@
         // already; but each fourth turn is the oldest's.
         let start = self.link.rules.routes.get(&line.name).map_or(Span::ZERO, |r| r.start);
         let oldest = start == Span::ZERO || self.counts.offers.is_multiple_of(4);
-        let fresh = Time(if oldest { 0 } else { now.0.saturating_sub(start.0) });
+        let fresh = Time(now.0.saturating_sub(start.0));
         let place = &line.place;
         let mut later = 0;
         loop {
@@ -224,7 +225,10 @@
             let own = p.own.as_mut()?;
             let (due, seq) = match call {
                 true => own.lane.pop(Some(&line.name), now)?,
-                false => own.lane.posts.get_mut(&line.name)?.pop_fresh(fresh, now)?,
+                false => match (own.lane.posts.get_mut(&line.name)?, oldest) {
+                    (due, true) => due.pop_oldest(now)?,
+                    (due, false) => due.pop_fresh(fresh, now)?,
+                },
             };
             let Some(r) = own.lane.ids.get(&seq).and_then(|id| p.recs.get(id)) else { continue };
             let id = r.head.id.clone();
@@ -244,8 +248,9 @@
             let (head, body) = match self.post_bytes(place, &id, call) {
                 Ok(x) => x,
                 Err(bad) => {
-                    let own = self.parts.get_mut(place).and_then(|p| p.own.as_mut())?;
-                    own.lane.post(&line.name, now + READ, seq);
+                    let part = self.parts.get_mut(place)?;
+                    let key = part.recs.get(&id).map(|r| r.head.key.clone()).unwrap_or_default();
+                    part.own.as_mut()?.lane.post(&line.name, &key, now + READ, seq);
                     if bad {
                         self.found_bad(place, &id, now);
                         continue;
@@ -346,8 +351,7 @@
                         pause
                     }
                 };
-                let route = r.head.route.clone();
-                own.lane.post(&route, now + pause, seq);
+                own.lane.post(&r.head.route, &r.head.key, now + pause, seq);
             }
             Stage::Owing(_) => {
                 let pause = match told {
--- /dev/null
+++ b/crates/waitlist/tests/due.rs
@@ -0,0 +1,90 @@
+//! Which message of a route goes next.
+use dw_waitlist::prelude::*;
+
+const NOW: Time = Time::millis(10_000);
+/// What is wanted since then or later can still begin in time.
+const FRESH: Time = Time::millis(9_000);
+
+fn order(due: &mut Due) -> Vec<u64> {
+    std::iter::from_fn(|| due.pop_fresh(FRESH, NOW)).map(|one| one.1).collect()
+}
+
+#[test]
+fn what_can_still_begin_in_time_goes_first_and_the_oldest_of_it() {
+    let mut due = Due::default();
+    for (seq, wanted) in [(1, 2_000), (2, 9_500), (3, 9_100), (4, 8_999)] {
+        due.put(NOW, seq, Time::millis(wanted), 0);
+    }
+    assert_eq!(due.oldest(NOW), Some(Time::millis(2_000)));
+    assert_eq!(order(&mut due), [3, 2, 1, 4]);
+    assert!(due.is_empty());
+}
+
+/// Let in by the end of the one before it, a late one is late all the same.
+#[test]
+fn since_when_a_run_is_wanted_counts_not_when_it_was_let_in() {
+    let mut due = Due::default();
+    due.put(NOW, 1, Time::millis(5_000), 3);
+    due.put(Time::millis(9_200), 2, Time::millis(9_200), 1);
+    assert_eq!(order(&mut due), [2, 1]);
+}
+
+/// After a service was down, keys are worked off one after the other: those
+/// with few waiting soon take what comes in in time, and no key's backlog
+/// keeps all others late.
+#[test]
+fn of_those_that_are_late_the_key_with_the_fewest_goes_first() {
+    let mut due = Due::default();
+    due.put(NOW, 1, Time::millis(1_000), 9);
+    due.put(NOW, 2, Time::millis(4_000), 2);
+    due.put(NOW, 3, Time::millis(3_000), 2);
+    due.put(NOW, 4, Time::millis(2_000), 5);
+    due.set_of_key(1, 1);
+    assert_eq!(order(&mut due), [1, 3, 2, 4]);
+}
+
+#[test]
+fn the_oldest_turn_takes_the_oldest() {
+    let mut due = Due::default();
+    due.put(NOW, 1, Time::millis(1_000), 9);
+    due.put(NOW, 2, Time::millis(9_500), 1);
+    assert_eq!(due.pop_oldest(NOW), Some((NOW, 1)));
+    assert_eq!(due.pop_oldest(NOW), Some((NOW, 2)));
+    assert_eq!(due.pop_oldest(NOW), None);
+}
+
+#[test]
+fn what_is_put_off_waits_until_then() {
+    let mut due = Due::default();
+    due.put(NOW, 1, Time::millis(9_500), 0);
+    assert!(due.oldest(NOW).is_some());
+    due.put_off(1, NOW + Span::millis(40));
+    assert_eq!(due.when(1), Some(NOW + Span::millis(40)));
+    assert_eq!((due.oldest(NOW), due.pop_fresh(FRESH, NOW)), (None, None));
+    let later = NOW + Span::millis(40);
+    assert_eq!(due.oldest(later), Some(Time::millis(9_500)));
+    assert_eq!(due.pop_fresh(FRESH, later), Some((later, 1)));
+}
+
+/// Through the partition's lines: the second of a key is no fresher than it
+/// is, and each one that comes makes its key longer.
+#[test]
+fn a_key_s_next_keeps_the_time_at_which_it_was_handed_in() {
+    let head = |seq: u64, key: &str| Head {
+        id: MessageId(format!("m{seq}")),
+        key: key.into(),
+        route: "turns".into(),
+        seq,
+        ..Head::default()
+    };
+    let mut lane = Lane { ordered: true, ..Lane::default() };
+    for (seq, key, wanted) in [(1, "a", 1_000), (2, "b", 1_200), (3, "a", 1_500), (4, "c", 9_400)] {
+        lane.wanted.insert(seq, Time::millis(wanted));
+        lane.enter(&head(seq, key), Stage::Work, NOW);
+    }
+    let due = lane.posts.get_mut("turns").unwrap();
+    assert_eq!(order(due), [4, 2, 1]);
+    lane.leave_work(&head(1, "a"), NOW);
+    let due = lane.posts.get_mut("turns").unwrap();
+    assert_eq!(due.oldest(NOW), Some(Time::millis(1_500)));
+}
