A mate that is silent gives way by how fast it used to acknowledge

Cause: a machine that loses power closes no line. Change: eight times the slowest acknowledgement of late, 150 ms at least, the old bound at most and for one that copies; looked at each 20 ms where somebody waits. Not after a standstill of the keeper itself.

--- a/crates/waitlist/src/store/append.rs
+++ b/crates/waitlist/src/store/append.rs
@@ -3,14 +3,14 @@
 
 impl Store {
     /// Sends each mate what it lacks of the latest ops.
-    pub(super) fn spread(&mut self, place: &Place) {
+    pub(super) fn spread(&mut self, place: &Place, now: Time) {
         let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
         for mate in own.mates.keys().cloned().collect::<Vec<_>>() {
-            self.spread_to(place, &mate);
+            self.spread_to(place, &mate, now);
         }
     }
 
-    fn spread_to(&mut self, place: &Place, mate: &Daemon) {
+    fn spread_to(&mut self, place: &Place, mate: &Daemon, now: Time) {
         let Some(p) = self.parts.get_mut(place) else { return };
         let Some(own) = p.own.as_mut() else { return };
         let top = p.n;
@@ -28,7 +28,7 @@
             return;
         };
         if let Some(s) = own.sibs.get_mut(mate) {
-            s.sent = sent + ops.len() as u64;
+            s.note_sent(sent + ops.len() as u64, now);
             if s.sent < top {
                 self.dirty.insert(place.clone());
             }
@@ -83,7 +83,7 @@
         let kept = upto == top || own.op(upto + 1, top).is_some();
         let sib = own.sibs.entry(from.clone()).or_default();
         sib.short = !kept;
-        sib.heard = now;
+        sib.note_acknowledged(upto, now);
         sib.mark = mark;
         let first = sib.have.is_none();
         sib.have = Some(sib.have.unwrap_or(0).max(upto));
--- a/crates/waitlist/src/store/mates.rs
+++ b/crates/waitlist/src/store/mates.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 
 /// A mate that owes an acknowledgement for so many parts of a hundred of a
-/// lease gives way to another.
+/// lease gives way to another, and sooner if it used to be fast.
 const QUIET: u64 = 30;
 /// A mate that lacks something is asked again after this.
 const MATE_ASKED_AGAIN: Span = Span::millis(300);
@@ -85,6 +85,25 @@
         }
     }
 
+    /// Where somebody waits for an op, a mate that is silent gives way at once.
+    pub(super) fn replace_silent_mates(&mut self, now: Time) {
+        if self.standstill.is_catching_up(now) {
+            return;
+        }
+        let longest = self.startup.terms.length.percent(QUIET);
+        let silent = |own: &Keep| {
+            let is_silent = |mate: &Daemon, since: &Time| own.sibs.get(mate).is_some_and(|s| s.is_silent(*since, longest, now));
+            !own.waits.is_empty() && own.mates.iter().any(|(mate, since)| is_silent(mate, since))
+        };
+        let due: Vec<Place> =
+            self.parts.iter().filter(|(_, p)| p.own.as_ref().is_some_and(silent)).map(|(place, _)| place.clone()).collect();
+        for place in due {
+            if self.link.may(&Duty::Keep(place.clone()), now).is_some() {
+                self.tend(&place, now);
+            }
+        }
+    }
+
     /// Sees to the mates, and to seats whose copy does not count yet.
     pub(super) fn tend(&mut self, place: &Place, now: Time) {
         let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
@@ -135,16 +154,15 @@
     /// and has not moved for a while, or it leaves.
     fn tend_mates(&mut self, place: &Place, now: Time) -> (Vec<Daemon>, Option<Daemon>) {
         let patience = self.startup.terms.length.percent(QUIET);
+        let still = self.standstill.is_catching_up(now);
         let (mut to_copy, mut lost) = (Vec::new(), None);
         let Some(p) = self.parts.get_mut(place) else { return (to_copy, lost) };
         let Some(own) = p.own.as_mut() else { return (to_copy, lost) };
         let top = p.n;
         for (mate, since) in own.mates.clone() {
             let sib = own.sibs.entry(mate.clone()).or_default();
-            let behind = sib.have.is_none_or(|h| h < top);
-            // Silence counts from when there was something to acknowledge.
-            sib.owed = behind.then(|| sib.owed.unwrap_or(now));
-            let quiet = now.since(sib.heard.max(since).max(sib.owed.unwrap_or(now))) > patience;
+            let behind = sib.note_behind(top, now);
+            let quiet = !still && sib.is_silent(since, patience, now);
             let leaves = own.swap.as_ref().is_some_and(|s| s.0 == mate);
             if (behind && quiet) || leaves {
                 lost.get_or_insert(mate);
