A cold worker gets four fifths of what its platform says it bears

Cause: a worker of unknown cold rate got 2 messages a second, where 5 are borne in any second; after all workers of a service were down, their first 3 s served next to nobody. Change: cold_slack in a delivery's startup file, filled from the deployment's own bounds; a worker gets its cold rate, or four fifths of the slack if that is more.

--- a/crates/delivery/src/run/posts.rs
+++ b/crates/delivery/src/run/posts.rs
@@ -40,8 +40,11 @@
 const SLACK: Span = Span::millis(150);
 /// A worker that says it is full is left alone for so long.
 const FULL: Span = Span::millis(60);
-/// What a cold worker of unknown rate gets in a second.
-const COLD_RATE: f64 = 2.0;
+/// So much of what a cold worker bears in a second it is sent, evenly: the
+/// second's both ends count, and sends arrive a little unevenly.
+const COLD_SLACK_USED: f64 = 0.8;
+/// A second, whatever is stated: none is left without any.
+const COLD_RATE_LEAST: f64 = 1.0;
 
 impl Delivery {
     /// The time a hand needs to be begun at all.
@@ -279,7 +282,8 @@
                 if let Some(f) = self.workers.get_mut(w) {
                     let cold = self.link.rules.services.get(&f.info.service).map_or(0.0, |s| s.cold_rate);
                     f.busy += 1;
-                    f.cold_next = now + Span((1e6 / cold.max(COLD_RATE)) as u64);
+                    let rate = cold.max(self.startup.cold_slack * COLD_SLACK_USED).max(COLD_RATE_LEAST);
+                    f.cold_next = now + Span((1e6 / rate) as u64);
                 }
             }
             Aim::Address(a) => {
--- a/crates/delivery/tests/told/mod.rs
+++ b/crates/delivery/tests/told/mod.rs
@@ -67,6 +67,9 @@
     asked: Time,
     /// News told as yet.
     told: u64,
+    /// How much longer the worker is cold, and how many it runs at once.
+    pub cold: Span,
+    pub slots: u32,
     pub begun: Vec<(CallId, Call)>,
     pub holding: Vec<Holding>,
     pub settled: Vec<Settled>,
@@ -80,6 +83,7 @@
             pull: Span::millis(300),
             terms: Terms::default(),
             hands_max: 64,
+            cold_slack: 5.0,
             seed: 1,
         };
         let mut told = Told {
@@ -87,6 +91,8 @@
             now: NOW,
             asked: NOW,
             told: 0,
+            cold: Span::ZERO,
+            slots: 1,
             begun: Vec::new(),
             holding: Vec::new(),
             settled: Vec::new(),
@@ -129,7 +135,7 @@
             (version, Item::Charter(charter.to_string())),
             (version, Item::Members(vec![member("delivery-1"), member("store-1"), member("store-2")])),
             (version, Item::Places(vec![(place(), placing)])),
-            (version, Item::Workers(known.worker.then(worker).into_iter().collect())),
+            (version, Item::Workers(known.worker.then(|| self.worker()).into_iter().collect())),
         ];
         let duty = Duty::of_worker(&worker().zone, &worker().id);
         let (set, swap_number) = (Vec::new(), Version::ZERO);
@@ -140,12 +146,20 @@
         self.step(Event::Hear { from: daemon("placement-1"), msg });
     }
 
+    fn worker(&self) -> Worker {
+        Worker { cold: self.cold, slots: self.slots, ..worker() }
+    }
+
     /// The first keeper hands out an attempt; no worker is there for it yet.
     pub fn offer(&mut self) {
         self.offer_by("bulk");
     }
 
     pub fn offer_by(&mut self, route: &str) {
+        self.offer_numbered(route, 1);
+    }
+
+    pub fn offer_numbered(&mut self, route: &str, attempt: u64) {
         let body = Bytes::from_static(b"body");
         let head = Head {
             id: MessageId("0-1".into()),
@@ -161,7 +175,7 @@
             head,
             stage: Stage::Work,
             epoch: epoch(1),
-            attempt: 1,
+            attempt,
             body,
             goal: Some(Goal::Service("sheets".into())),
             limit: Span::secs(1),
--- a/crates/delivery/tests/worker_choice.rs
+++ b/crates/delivery/tests/worker_choice.rs
@@ -68,6 +68,7 @@
             pull: Span::millis(300),
             terms: Terms::default(),
             hands_max: 64,
+            cold_slack: 5.0,
             seed: 1,
         };
         let mut house = House {
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -171,7 +171,7 @@
                 (Box::new(c), e)
             }
             Kind::Delivery => {
-                let s = Carrier { me, seeds, pull, terms, hands_max: b.hands, seed };
+                let s = Carrier { me, seeds, pull, terms, hands_max: b.hands, cold_slack: 2.5, seed };
                 (Box::new(Delivery::new(s, self.now)), Vec::new())
             }
             Kind::Agent => (Box::new(Agent::new(me, seeds, pull, terms)), Vec::new()),
--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -94,11 +94,26 @@
     pub limits: Option<Limits>,
     #[serde(default, skip_serializing_if = "usual")]
     pub intake: Intake,
+    /// Calls in any second that a worker bears right after its start, beyond
+    /// its service's cold rate; delivery only.
+    #[serde(default = "cold_slack", skip_serializing_if = "is_usual_cold_slack")]
+    pub cold_slack: f64,
     /// What may be lost at once with every promise kept.
     #[serde(default, skip_serializing_if = "usual")]
     pub tolerates: Tolerance,
 }
 
+/// Enough for two calls a second.
+const COLD_SLACK: f64 = 2.5;
+
+fn cold_slack() -> f64 {
+    COLD_SLACK
+}
+
+fn is_usual_cold_slack(n: &f64) -> bool {
+    *n == COLD_SLACK
+}
+
 fn usual<T: Default + PartialEq>(v: &T) -> bool {
     *v == T::default()
 }
--- a/programs/tests/templates.rs
+++ b/programs/tests/templates.rs
@@ -11,7 +11,11 @@
     ("agent", env!("CARGO_BIN_EXE_dahliawick-agent")),
 ];
 
-const GAPS: [(&str, &str); 17] = [
+/// Stands only where the platform states it.
+const SLACK: &str = "timingBounds.coldSlack";
+
+const GAPS: [(&str, &str); 18] = [
+    ("{{timingBounds.coldSlack}}", "5"),
     ("{{nodeName}}", "machine-1"),
     ("{{ipAddress}}", "10.1.0.40"),
     ("{{zone}}", "z1"),
@@ -34,6 +38,11 @@
 fn filled(kind: &str, seeds: &[&str], bootstrap: bool) -> String {
     let path = format!("{}/../deploy/{kind}.tmpl", env!("CARGO_MANIFEST_DIR"));
     let mut text = std::fs::read_to_string(path).unwrap();
+    let (begin, end) = (format!("{{{{#{SLACK}}}}}"), format!("{{{{/{SLACK}}}}}"));
+    if let (Some(from), Some(to), false) = (text.find(&begin), text.find(&end), bootstrap) {
+        text.replace_range(from..to, "");
+    }
+    text = text.replace(&begin, "").replace(&end, "");
     for (gap, value) in GAPS {
         text = text.replace(gap, value);
     }
