Test and mend: a near mate that is gone is not drawn in again at once

The test of silent mates showed it: a near mate that had just given way was drawn in again, passed for level, as nothing had been committed since, and let the far one go that was to take its place. Tests: waitlist silent_mates.rs, three; one fails before.

--- a/crates/waitlist/src/store/mates.rs
+++ b/crates/waitlist/src/store/mates.rs
@@ -26,6 +26,9 @@
         let all = self.mate_candidates(place, &zones);
         let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
         let needed = own.mates_needed();
+        if lost.is_some_and(|lost| !far(lost)) {
+            own.near_drawn = now;
+        }
         own.mates.retain(|d, _| all.contains(d) && Some(d) != lost);
         // The one after the lost one comes first, the lost one itself last.
         let begin = lost.and_then(|lost| all.iter().position(|d| d == lost)).map_or(0, |at| at + 1);
--- a/crates/waitlist/tests/loaded/mod.rs
+++ b/crates/waitlist/tests/loaded/mod.rs
@@ -117,6 +117,11 @@
         own.mates.keys().cloned().collect()
     }
 
+    /// Nobody takes a step for a while.
+    pub fn stand_still(&mut self, span: Span) {
+        self.now = self.now + span;
+    }
+
     /// A store is no longer reached by the others.
     pub fn cut(&mut self, store: &Daemon) {
         self.cut.insert(store.clone());
--- /dev/null
+++ b/crates/waitlist/tests/silent_mates.rs
@@ -0,0 +1,60 @@
+//! How soon a sibling that gets every operation gives way when it falls silent.
+mod loaded;
+mod settings;
+use dw_waitlist::prelude::*;
+use loaded::Loaded;
+
+fn busy() -> Loaded {
+    let zones = ["a", "a", "b", "b", "c"];
+    let mut all = Loaded::in_zones(zones.iter().map(|zone| zone.to_string()).collect(), 20);
+    all.run(Span::millis(500));
+    all
+}
+
+/// Day trouble-1: a machine that lost power closed no line, and each partition
+/// of which its store was mate stood still for half a second.
+#[test]
+fn one_that_used_to_be_fast_gives_way_within_a_fifth_of_a_second() {
+    for at in 0..2 {
+        let mut all = busy();
+        let gone = all.mates()[at].clone();
+        all.cut(&gone);
+        all.run(Span::millis(200));
+        let mates = all.mates();
+        assert!(!mates.contains(&gone), "{mates:?}");
+        assert_eq!(mates.len(), 2);
+    }
+}
+
+/// What they sent meanwhile lies unread: it was the keeper that stood still.
+#[test]
+fn none_gives_way_because_the_keeper_stood_still() {
+    let mut all = busy();
+    let before = all.mates();
+    all.stand_still(Span::secs(1));
+    all.run(Span::millis(400));
+    assert_eq!(all.mates(), before);
+}
+
+/// The same acknowledgements, slower and slower: what is usual of late counts.
+#[test]
+fn one_that_is_slow_is_waited_for_by_its_own_measure() {
+    let mut sibling = Sib::default();
+    sibling.have = Some(0);
+    let (longest, mut now) = (Span::millis(480), Time::millis(10_000));
+    for (upto, took) in [(1, 10), (2, 30), (3, 50)] {
+        sibling.note_sent(upto, now);
+        now = now + Span::millis(took);
+        sibling.have = Some(upto);
+        sibling.note_acknowledged(upto, now);
+    }
+    sibling.note_sent(4, now);
+    assert!(sibling.note_behind(4, now));
+    assert!(!sibling.is_silent(Time(0), longest, now + Span::millis(390)));
+    assert!(sibling.is_silent(Time(0), longest, now + Span::millis(410)));
+    // One that copies the whole has the longest time.
+    let mut copying = sibling;
+    copying.have = None;
+    assert!(!copying.is_silent(Time(0), longest, now + Span::millis(470)));
+    assert!(copying.is_silent(Time(0), longest, now + Span::millis(490)));
+}
