--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -291,6 +291,7 @@
             life: LIFE,
             to,
             reads_packed: false,
+            zone: None,
             msg,
         };
         let frame = encode(&e);
--- a/crates/shell/tests/packing.rs
+++ b/crates/shell/tests/packing.rs
@@ -67,7 +67,7 @@
     for n in 0..5 {
         let plain = frame(n, 64);
         assert_eq!(unpacker.unpack(BytesMut::from(&plain[..])).unwrap(), [Bytes::from(plain.clone())]);
-        let mut packed = packer.pack(&coded(&[plain.clone()])).unwrap();
+        let mut packed = packer.pack(&coded(std::slice::from_ref(&plain))).unwrap();
         assert_eq!(unpacker.unpack(decoded(&mut packed).unwrap()).unwrap(), [Bytes::from(plain)]);
     }
 }
@@ -101,13 +101,12 @@
     let own = startup("store-1");
     let (wires, sockets) = bind(&own, own.member(Mark(1))).unwrap();
     let own_address = sockets.address().unwrap();
-    let (ring, _heard) = crossbeam_channel::bounded(64);
+    let (ring, heard) = crossbeam_channel::bounded(64);
     let serving = tokio::spawn(dw_shell::wires::serve(wires.clone(), sockets, ring.clone()));
     let sibling = Daemon("store-2".into());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    tell(&wires, &own_address, &sibling, &address, reads_packed, &_heard).await;
-    wires.learn_zone(&sibling, &Zone(zone.into()));
+    tell(&wires, &own_address, (&sibling, zone), &address, reads_packed, &heard).await;
     let mut lines = Lines::new(wires.clone(), ring);
     let (mut bytes, mut read, mut unpacker) = (0, 0, Unpacker::default());
     let mut stream = None;
@@ -136,7 +135,7 @@
 async fn tell(
     wires: &Arc<Wires>,
     to: &str,
-    sibling: &Daemon,
+    (sibling, zone): (&Daemon, &str),
     address: &str,
     reads_packed: bool,
     heard: &crossbeam_channel::Receiver<Event>,
@@ -150,6 +149,7 @@
         life: Mark(1),
         to: "store-1".into(),
         reads_packed,
+        zone: Some(Zone(zone.into())),
         msg: Msg::NotPrimary { leader: None },
     };
     let mut line = tokio::net::TcpStream::connect(to).await.unwrap();
--- a/crates/waitlist/tests/loaded/mod.rs
+++ b/crates/waitlist/tests/loaded/mod.rs
@@ -119,7 +119,7 @@
 
     /// Nobody takes a step for a while.
     pub fn stand_still(&mut self, span: Span) {
-        self.now = self.now + span;
+        self.now += span;
     }
 
     /// A store is no longer reached by the others.
--- a/crates/waitlist/tests/silent_mates.rs
+++ b/crates/waitlist/tests/silent_mates.rs
@@ -44,7 +44,7 @@
     let (longest, mut now) = (Span::millis(480), Time::millis(10_000));
     for (upto, took) in [(1, 10), (2, 30), (3, 50)] {
         sibling.note_sent(upto, now);
-        now = now + Span::millis(took);
+        now += Span::millis(took);
         sibling.have = Some(upto);
         sibling.note_acknowledged(upto, now);
     }
