Mates do not change on and on under a load that slows all of them

Change: only one that was fast as a mate is given less than the longest time; the shortest doubles each time one gives way for it and halves after 10 s without; one that copies is heard with each part that it asks for. Tests: waitlist silent_mates.rs, two more. The one at a partition fails without the hearing (10 changes in 6 s); the one of the doubling fails without that, the one at the partition does not.

--- a/crates/waitlist/src/sibling.rs
+++ b/crates/waitlist/src/sibling.rs
@@ -2,13 +2,48 @@
 use crate::prelude::*;
 
 /// A mate that owes an acknowledgement may be silent for so many times what
-/// one takes, and for no less than this.
+/// one takes.
 const ACKNOWLEDGEMENTS_WAITED: u64 = 8;
-const PATIENCE_LEAST: Span = Span::millis(150);
 /// With each acknowledgement that was faster, the slowest one remembered
 /// counts for so many parts of a hundred.
 const SLOWEST_KEPT: u64 = 95;
 
+/// How long a mate of one partition may be silent. The shortest time doubles
+/// each time one gives way for it, so that slow acknowledgements of a load that
+/// is too high do not make mates change, which costs copies and adds to it.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    pub least: Span,
+    pub longest: Span,
+}
+
+/// The shortest time where no mate has given way of late.
+const PATIENCE_LEAST: Span = Span::millis(150);
+/// After so long without one that gave way the shortest time halves.
+const PATIENCE_EASED: Span = Span::secs(10);
+
+/// The shortest time of one partition, and since when it stands.
+#[derive(Clone, Copy, Debug)]
+pub struct PatienceLeast {
+    least: Span,
+    since: Time,
+}
+
+impl PatienceLeast {
+    pub fn new(now: Time) -> PatienceLeast {
+        PatienceLeast { least: PATIENCE_LEAST, since: now }
+    }
+    /// A mate gave way because it was silent.
+    pub fn note_given_way(&mut self, longest: Span, now: Time) {
+        *self = PatienceLeast { least: self.now(now).times(2).min(longest), since: now };
+    }
+    /// The shortest time now.
+    pub fn now(&self, now: Time) -> Span {
+        let halvings = (now.since(self.since).0 / PATIENCE_EASED.0).min(16);
+        Span(self.least.0 >> halvings).max(PATIENCE_LEAST)
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Sib {
     pub mark: Mark,
@@ -55,12 +90,13 @@
     }
 
     /// Whether it was silent for too long since `since`, when it became a mate,
-    /// and since it lacks something. One that copies the whole is given
-    /// `longest`.
-    pub fn is_silent(&self, since: Time, longest: Span, now: Time) -> bool {
-        let patience = match self.have {
-            Some(_) => self.slowest.times(ACKNOWLEDGEMENTS_WAITED).max(PATIENCE_LEAST).min(longest),
-            None => longest,
+    /// and since it lacks something. Only one that was fast as a mate is given
+    /// less than the longest time.
+    pub fn is_silent(&self, since: Time, patience: Patience, now: Time) -> bool {
+        let was_fast = self.have.is_some() && self.heard > since && self.slowest > Span::ZERO;
+        let patience = match was_fast {
+            true => self.slowest.times(ACKNOWLEDGEMENTS_WAITED).max(patience.least).min(patience.longest),
+            false => patience.longest,
         };
         let owed = self.owed.or(self.timed.map(|timed| timed.1)).unwrap_or(now);
         now.since(self.heard.max(since).max(owed)) > patience
--- a/crates/waitlist/src/store/copy_source.rs
+++ b/crates/waitlist/src/store/copy_source.rs
@@ -47,6 +47,11 @@
         if !self.hands_out(&place, epoch) {
             return;
         }
+        // One that copies is not silent, however long that takes.
+        let sib = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()).and_then(|own| own.sibs.get_mut(&from));
+        if let Some(sib) = sib {
+            sib.heard = now;
+        }
         let bodies = self.bodies_of(&place, &ids, now);
         let who = Parked::Want { from: from.clone(), epoch, ids };
         if self.read_back(&place, &bodies.on_disk, who) {
@@ -61,6 +66,11 @@
         if !self.hands_out(&place, epoch) {
             return;
         }
+        // One that copies is not silent, however long that takes.
+        let sib = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()).and_then(|own| own.sibs.get_mut(&from));
+        if let Some(sib) = sib {
+            sib.heard = now;
+        }
         let bodies = self.bodies_of(&place, &request.wanted, now);
         let who = Parked::CopyPart { from: from.clone(), epoch, request: request.clone() };
         if self.read_back(&place, &bodies.on_disk, who) {
--- a/crates/waitlist/src/store/mates.rs
+++ b/crates/waitlist/src/store/mates.rs
@@ -95,7 +95,8 @@
         }
         let longest = self.startup.terms.length.percent(QUIET);
         let silent = |own: &Keep| {
-            let is_silent = |mate: &Daemon, since: &Time| own.sibs.get(mate).is_some_and(|s| s.is_silent(*since, longest, now));
+            let patience = Patience { least: own.patience_least.now(now), longest };
+            let is_silent = |mate: &Daemon, since: &Time| own.sibs.get(mate).is_some_and(|s| s.is_silent(*since, patience, now));
             !own.waits.is_empty() && own.mates.iter().any(|(mate, since)| is_silent(mate, since))
         };
         let due: Vec<Place> =
@@ -156,18 +157,22 @@
     /// The mates that need a whole copy, and one that has to give way: it lags
     /// and has not moved for a while, or it leaves.
     fn tend_mates(&mut self, place: &Place, now: Time) -> (Vec<Daemon>, Option<Daemon>) {
-        let patience = self.startup.terms.length.percent(QUIET);
+        let longest = self.startup.terms.length.percent(QUIET);
         let still = self.standstill.is_catching_up(now);
         let (mut to_copy, mut lost) = (Vec::new(), None);
         let Some(p) = self.parts.get_mut(place) else { return (to_copy, lost) };
         let Some(own) = p.own.as_mut() else { return (to_copy, lost) };
         let top = p.n;
+        let patience = Patience { least: own.patience_least.now(now), longest };
         for (mate, since) in own.mates.clone() {
             let sib = own.sibs.entry(mate.clone()).or_default();
             let behind = sib.note_behind(top, now);
             let quiet = !still && sib.is_silent(since, patience, now);
             let leaves = own.swap.as_ref().is_some_and(|s| s.0 == mate);
             if (behind && quiet) || leaves {
+                if lost.is_none() && !leaves {
+                    own.patience_least.note_given_way(longest, now);
+                }
                 lost.get_or_insert(mate);
                 continue;
             }
--- a/crates/waitlist/tests/loaded/mod.rs
+++ b/crates/waitlist/tests/loaded/mod.rs
@@ -29,6 +29,9 @@
     /// What arrives in the next step.
     queue: VecDeque<(Daemon, Event)>,
     cut: BTreeSet<Daemon>,
+    /// What one store says to another comes so much later.
+    delay: Span,
+    late: VecDeque<(Time, Daemon, Event)>,
     replica: Daemon,
     set: Vec<(Daemon, Mark)>,
     /// Handed out, and not ended yet.
@@ -63,6 +66,8 @@
             cores: BTreeMap::new(),
             queue: VecDeque::new(),
             cut: BTreeSet::new(),
+            delay: Span::ZERO,
+            late: VecDeque::new(),
             replica: daemon(KEEPER),
             set: Vec::new(),
             under_way: VecDeque::new(),
@@ -117,6 +122,11 @@
         own.mates.keys().cloned().collect()
     }
 
+    /// What one store says to another comes so much later from here on.
+    pub fn delay(&mut self, by: Span) {
+        self.delay = by;
+    }
+
     /// Nobody takes a step for a while.
     pub fn stand_still(&mut self, span: Span) {
         self.now += span;
@@ -216,6 +226,9 @@
             let stores: Vec<Daemon> = self.cores.keys().cloned().collect();
             self.queue.extend(stores.into_iter().map(|id| (id, Event::Clock)));
         }
+        while let Some((_, to, event)) = self.late.pop_front_if(|late| late.0 <= self.now) {
+            self.queue.push_back((to, event));
+        }
         for (id, event) in std::mem::take(&mut self.queue) {
             let Some(core) = self.cores.get_mut(&id) else { continue };
             let out = core.step(event, self.now);
@@ -245,7 +258,11 @@
         if *from == daemon(KEEPER) && to == self.replica {
             self.sent_to_replica += size;
         }
-        self.queue.push_back((to, Event::Hear { from: from.clone(), msg }));
+        let event = Event::Hear { from: from.clone(), msg };
+        match self.delay {
+            Span::ZERO => self.queue.push_back((to, event)),
+            delay => self.late.push_back((self.now + delay, to, event)),
+        }
     }
 
     /// Answers a pull as placement does.
--- a/crates/waitlist/tests/silent_mates.rs
+++ b/crates/waitlist/tests/silent_mates.rs
@@ -41,7 +41,8 @@
 fn one_that_is_slow_is_waited_for_by_its_own_measure() {
     let mut sibling = Sib::default();
     sibling.have = Some(0);
-    let (longest, mut now) = (Span::millis(480), Time::millis(10_000));
+    let patience = Patience { least: Span::millis(150), longest: Span::millis(480) };
+    let mut now = Time::millis(10_000);
     for (upto, took) in [(1, 10), (2, 30), (3, 50)] {
         sibling.note_sent(upto, now);
         now += Span::millis(took);
@@ -50,11 +51,41 @@
     }
     sibling.note_sent(4, now);
     assert!(sibling.note_behind(4, now));
-    assert!(!sibling.is_silent(Time(0), longest, now + Span::millis(390)));
-    assert!(sibling.is_silent(Time(0), longest, now + Span::millis(410)));
-    // One that copies the whole has the longest time.
+    assert!(!sibling.is_silent(Time(0), patience, now + Span::millis(390)));
+    assert!(sibling.is_silent(Time(0), patience, now + Span::millis(410)));
+    // One that copies the whole, or has shown nothing as a mate, has longest.
+    let joined = now + Span::millis(1);
+    assert!(!sibling.is_silent(joined, patience, joined + Span::millis(470)));
     let mut copying = sibling;
     copying.have = None;
-    assert!(!copying.is_silent(Time(0), longest, now + Span::millis(470)));
-    assert!(copying.is_silent(Time(0), longest, now + Span::millis(490)));
+    assert!(!copying.is_silent(Time(0), patience, now + Span::millis(470)));
+    assert!(copying.is_silent(Time(0), patience, now + Span::millis(490)));
+}
+
+/// Finding of a soak with far too high a load: mates changed hundreds of times
+/// a second, and each change was a copy of a partition.
+#[test]
+fn patience_grows_each_time_one_gives_way_and_comes_back() {
+    let (longest, mut now) = (Span::millis(900), Time::millis(10_000));
+    let mut least = PatienceLeast::new(now);
+    let mut all = vec![least.now(now)];
+    for _ in 0..4 {
+        now += Span::millis(500);
+        least.note_given_way(longest, now);
+        all.push(least.now(now));
+    }
+    assert_eq!(all, [150, 300, 600, 900, 900].map(Span::millis));
+    assert_eq!(least.now(now + Span::secs(10)), Span::millis(450));
+    assert_eq!(least.now(now + Span::secs(60)), Span::millis(150));
+}
+
+/// All siblings answer late from some moment on, as under a load that is too
+/// high: mates change a few times, not on and on.
+#[test]
+fn a_load_that_slows_all_siblings_does_not_make_mates_change_on_and_on() {
+    let mut all = busy();
+    all.delay(Span::millis(400));
+    all.run(Span::secs(6));
+    let changes = all.notes_of(Note::MateMatched);
+    assert!(changes <= 4, "{changes} changes");
 }
