A worker that warms up is not preferred for its zone

Change: the zone comes first only where a warm one of it is fit. Waitlists alone; routed messages choose otherwise and are unchanged. Test: delivery worker_choice.rs (fails before).

--- a/crates/delivery/src/run/workers.rs
+++ b/crates/delivery/src/run/workers.rs
@@ -113,8 +113,11 @@
                 w.busy < mine && w.ramp.spaced(slots, mine, now)
             })
             .collect();
-        if near && fit.iter().any(|w| w.info.zone == self.startup.me.zone) {
-            fit.retain(|w| w.info.zone == self.startup.me.zone);
+        // One that warms up is not preferred: with a backlog it would get all
+        // of it, and its warm siblings in other zones next to nothing.
+        let here = &self.startup.me.zone;
+        if near && fit.iter().any(|w| w.info.zone == *here && !w.ramp.warming(now)) {
+            fit.retain(|w| w.info.zone == *here);
         }
         if fit.is_empty() {
             return None;
--- a/crates/delivery/tests/worker_choice.rs
+++ b/crates/delivery/tests/worker_choice.rs
@@ -8,7 +8,7 @@
   "templates": [{"name": "house", "waitlists": [
     {"name": "sheets", "partitions": 1, "service": "sheets", "attempts": 8, "attempt_ms": 1500}]}],
   "tenants": [{"name": "curators", "template": "house", "share": 1}],
-  "services": [{"name": "sheets", "slots": 6, "warm_ms": 8000}]}"#;
+  "services": [{"name": "sheets", "slots": 6, "warm_ms": 8000, "same_zone_first": true}]}"#;
 
 fn daemon(name: &str) -> Daemon {
     Daemon(name.to_string())
@@ -34,12 +34,14 @@
     }
 }
 
+/// `far-1` stands in another zone than the delivery.
 fn worker(name: &str) -> Worker {
+    let zone = if name.starts_with("far") { "z2" } else { "z1" };
     Worker {
         id: WorkerId(name.into()),
         service: "sheets".into(),
         addr: format!("{name}:80"),
-        zone: Zone("z1".into()),
+        zone: Zone(zone.into()),
         draining: false,
         age: Span::secs(60),
         slots: 0,
@@ -202,3 +204,29 @@
         assert!(house.count("sheets-1") <= 1, "phase {phase}: it warms up anew: {:?}", house.got);
     }
 }
+
+/// Finding of the soak (seed 35206): all deliveries had been down, and the one
+/// that was back sent a backlog to the one worker of its zone, which warmed up:
+/// eleven in a second, and two to each of its siblings.
+#[test]
+fn a_worker_that_warms_up_is_not_preferred_for_its_zone() {
+    let mut house = House::new(&["sheets-1", "far-1", "far-2"]);
+    house.down = Some("sheets-1".into());
+    house.run(Span::millis(700));
+    house.down = None;
+    house.run(Span::secs(8));
+    house.got.clear();
+    for _ in 0..30 {
+        house.offer();
+        house.run(Span::millis(20));
+    }
+    assert!(house.count("sheets-1") <= 13, "{:?}", house.got);
+    // Warm again, it has them all.
+    house.run(Span::secs(8));
+    house.got.clear();
+    for _ in 0..10 {
+        house.offer();
+        house.run(Span::millis(60));
+    }
+    assert_eq!(house.count("sheets-1"), 10);
+}
