No message is handed out before its delay is over, whoever lets it go

Cause: since a message that rested at an opening was let go of for now, not for when its delay is over. Change: the line itself keeps to it. Test: waitlist due.rs, one (fails before).

--- a/crates/waitlist/src/due.rs
+++ b/crates/waitlist/src/due.rs
@@ -13,7 +13,8 @@
     of_key: usize,
 }
 
-/// Invariant: each entry of `all` stands in `paused` by its time, or, once that
+/// Invariants: none waits for less than until its run is wanted, as its delay
+/// is over then; each entry of `all` stands in `paused` by its time, or, once that
 /// has come, in `ready` and in `shortest`; nothing else stands there.
 #[derive(Default)]
 pub struct Due {
@@ -29,6 +30,7 @@
     /// Lets one wait until `at`, of which a run is wanted since `wanted`.
     pub fn put(&mut self, at: Time, seq: u64, wanted: Time, of_key: usize) {
         self.take(seq);
+        let at = at.max(wanted);
         self.paused.insert((at, seq));
         self.all.insert(seq, Waiting { at, wanted, of_key });
     }
--- a/crates/waitlist/tests/due.rs
+++ b/crates/waitlist/tests/due.rs
@@ -88,3 +88,16 @@
     let due = lane.posts.get_mut("turns").unwrap();
     assert_eq!(due.oldest(NOW), Some(Time::millis(1_500)));
 }
+
+/// Found by the sweep (fleet seeds 10, 12 and more): let go of a rest, a message
+/// ran before its delay was over.
+#[test]
+fn nothing_is_handed_out_before_its_delay_is_over() {
+    let mut due = Due::default();
+    let wanted = NOW + Span::millis(700);
+    due.put(NOW + Span::secs(2), 1, wanted, 0);
+    due.put_off(1, NOW);
+    assert_eq!(due.when(1), Some(wanted));
+    assert_eq!((due.pop_fresh(FRESH, NOW), due.pop_oldest(NOW)), (None, None));
+    assert_eq!(due.pop_fresh(FRESH, wanted), Some((wanted, 1)));
+}
