A request goes around a cut by a store of a third zone, not of its own side

A proxy whose keeper is silent sends a second copy through the first other store by name. With z1 and z2 cut from each other that was often a store of its own zone, which can't reach the keeper either; two copies at most are open, so the store of the third zone, which reaches both, was never asked. m000211 was told 'unknown' five times in a row from 7.7 s to 19.2 s, its key stood still for 12.3 s. Ruled out: keepers and duties (granted within 3.3 s of the cut), the worker's side. Test relay.rs fails before.

--- /dev/null
+++ b/crates/ingest/tests/relay.rs
@@ -0,0 +1,89 @@
+//! Around a cut between two zones a proxy asks a store of the third zone.
+use dw_ingest::prelude::*;
+
+const CHARTER: &str = r#"{
+  "templates":[{"name":"house","waitlists":[{"name":"w","partitions":1,"service":"s","attempts":3,"attempt_ms":1000}]}],
+  "tenants":[{"name":"t","template":"house","share":100}],
+  "services":[{"name":"s"}]}"#;
+const SECOND: Span = Span::millis(400);
+
+fn member(id: &str, zone: &str) -> Member {
+    let (id, zone) = (Daemon(id.into()), Zone(zone.into()));
+    Member { id, zone, addr: "10.0.0.1:1".into(), http: String::new(), life: Mark(7), disk: Mark(0), machine: String::new() }
+}
+
+/// A proxy of `z1`, with one partition kept by a store of `z2`. By name, the
+/// stores of its own zone and of the keeper's come before those of `z3`.
+fn proxy(now: Time) -> Proxy {
+    let startup = Startup {
+        me: member("proxy-1", "z1"),
+        agent: Daemon("agent-1".into()),
+        pull: Span::millis(400),
+        terms: Terms::default(),
+        seats: 64,
+        second: SECOND,
+        limit: Span::secs(4),
+        wall: 1,
+        now,
+    };
+    let mut proxy = Proxy::new(startup);
+    let version = Version { term: Term(1), count: 1 };
+    let stores =
+        [("store-1", "z1"), ("store-2", "z2"), ("store-3", "z1"), ("store-4", "z2"), ("store-5", "z3"), ("store-6", "z3")];
+    let place = Place { tenant: "t".into(), waitlist: "w".into(), part: 0 };
+    let placing = Placing { keeper: Daemon("store-2".into()), epoch: version };
+    let items = vec![
+        (version, Item::Charter(CHARTER.into())),
+        (version, Item::Members(stores.iter().map(|(id, zone)| member(id, zone)).collect())),
+        (version, Item::Places(vec![(place, placing)])),
+    ];
+    proxy.step(Event::Clock, now);
+    let fresh = Some(Span::secs(60));
+    let news = Msg::News { asked: now, term: Term(1), fresh, items, grants: Vec::new(), late: Vec::new() };
+    proxy.step(Event::Hear { from: Daemon("agent-1".into()), msg: news }, now);
+    proxy
+}
+
+fn hand() -> Event {
+    let ask = Ask::Hand {
+        tenant: "t".into(),
+        waitlist: "w".into(),
+        id: MessageId("m".into()),
+        key: String::new(),
+        desk: String::new(),
+        ttl: None,
+        first: true,
+        body: Bytes::from_static(b"b"),
+    };
+    Event::Ask(AskId(1), ask)
+}
+
+fn look() -> Event {
+    let ask = Ask::Look { tenant: "t".into(), waitlist: "w".into(), id: MessageId("m".into()), key: String::new(), body: false };
+    Event::Ask(AskId(2), ask)
+}
+
+/// The stores that are asked one after the other while none answers.
+fn asked(proxy: &mut Proxy, first: Event, turns: u64, now: Time) -> Vec<String> {
+    let mut out = proxy.step(first, now);
+    for turn in 1..=turns {
+        out.extend(proxy.step(Event::Clock, now + SECOND.times(turn)));
+    }
+    let store = |effect: &Effect| match effect {
+        Effect::Say(to, Msg::Carry { .. } | Msg::Peek { .. }) => Some(to.to_string()),
+        _ => None,
+    };
+    out.iter().filter_map(store).collect()
+}
+
+#[test]
+fn a_message_goes_around_a_cut_by_a_third_zone() {
+    let now = Time::millis(1_000_000);
+    assert_eq!(asked(&mut proxy(now), hand(), 1, now), ["store-2", "store-5"]);
+}
+
+#[test]
+fn a_question_goes_around_a_cut_by_a_third_zone() {
+    let now = Time::millis(1_000_000);
+    assert_eq!(asked(&mut proxy(now), look(), 2, now), ["store-2", "store-5", "store-6"]);
+}
