--- a/crates/waitlist/src/partial_copy.rs
+++ b/crates/waitlist/src/partial_copy.rs
@@ -3,6 +3,14 @@
 
 /// So many messages' bytes are asked for at once.
 const WANTED_AT_ONCE: usize = 256;
+/// What a record takes beside its texts, about.
+const RECORD: usize = 200;
+
+/// How many bytes a record without its body takes, about.
+pub fn record_size(head: &Head) -> usize {
+    let parcel = head.parcel.as_ref().map_or(0, |p| p.path.len() + p.host.len() + p.id.len() + p.back.len());
+    RECORD + head.key.len() + head.seal.len() + parcel
+}
 
 /// Invariants: `records` are exactly the source's at operation `position.n`, of
 /// those up to `position.after`; `missing` names at least all of them whose
@@ -20,6 +28,16 @@
     missing: BTreeSet<MessageId>,
     /// Bytes from before it began anew: a message's bytes never change.
     spare: BTreeMap<MessageId, Bytes>,
+    /// Bytes that its parts brought: it holds no more of them in memory.
+    brought: usize,
+}
+
+/// How many bytes an operation of a copy takes, about.
+fn operation_size(op: &Op) -> usize {
+    match op {
+        Op::Put(head, _, body) => record_size(head) + body.len(),
+        _ => RECORD,
+    }
 }
 
 /// What a part did for a copy.
@@ -42,7 +60,13 @@
                 spare.insert(record.head.id, body);
             }
         }
-        PartialCopy { spare, ..PartialCopy::default() }
+        let brought = spare.values().map(Bytes::len).sum();
+        PartialCopy { spare, brought, ..PartialCopy::default() }
+    }
+
+    /// How many bytes it holds in memory, at most.
+    pub fn brought(&self) -> usize {
+        self.brought
     }
 
     /// The operation at which it stands.
@@ -87,6 +111,8 @@
         } else if part.from != self.position {
             return Taken::Late;
         }
+        self.brought += part.records.iter().map(|(head, _)| record_size(head)).sum::<usize>();
+        self.brought += part.ops.iter().map(operation_size).sum::<usize>();
         let brings = part.from.is_none() || !part.records.is_empty() || !part.bodies.is_empty() || !part.complete;
         for op in &part.ops {
             self.apply(place, op, now);
@@ -142,6 +168,7 @@
                 sound = false;
                 continue;
             }
+            self.brought += body.len();
             record.body = Some(body);
             self.missing.remove(&id);
         }
--- a/crates/waitlist/src/store/copy_source.rs
+++ b/crates/waitlist/src/store/copy_source.rs
@@ -1,5 +1,6 @@
 //! A replica as the source of a whole copy.
 use super::{Body, Parked};
+use crate::partial_copy::record_size;
 use crate::prelude::*;
 use std::ops::Bound;
 
@@ -8,8 +9,6 @@
 /// Records sent at once, and bytes of theirs.
 const RECORDS_AT_ONCE: usize = 1000;
 const RECORD_BYTES_AT_ONCE: usize = 256 << 10;
-/// What a record takes beside its texts, about.
-const RECORD: usize = 200;
 
 /// Bytes that were asked for.
 #[derive(Default)]
@@ -19,12 +18,6 @@
     on_disk: Vec<MessageId>,
 }
 
-/// How many bytes a record without its body takes, about.
-fn record_size(head: &Head) -> usize {
-    let parcel = head.parcel.as_ref().map_or(0, |p| p.path.len() + p.host.len() + p.id.len() + p.back.len());
-    RECORD + head.key.len() + head.seal.len() + parcel
-}
-
 impl Store {
     /// Only a replica fenced at this very epoch, or its keeper once that is
     /// whole, hands out.
