--- a/crates/waitlist/tests/bounded_copies.rs
+++ b/crates/waitlist/tests/bounded_copies.rs
@@ -22,7 +22,7 @@
 
 fn head(seq: u64) -> Head {
     let body = body(seq);
-    Head { id: MessageId(format!("m{seq:04}").into()), seq, crc: crc32(&body), len: body.len() as u32, ..Head::default() }
+    Head { id: MessageId(format!("m{seq:04}")), seq, crc: crc32(&body), len: body.len() as u32, ..Head::default() }
 }
 
 /// The keeper's answer: all records first, then the bytes of one message.
