Write sets that are narrower than the stated losses call for are widened

Cause: a write set laid out while there were few stores kept its width for ever (docs/control-state.md, 'Not held'): with two losses to be borne and three stores at the start, sets of three stayed when a fifth store came. Change: where no seat has to move, a live store joins a set beside the others: copied whole as for a replacement (the joiner named as the one that leaves, too), then a committed order adds its seat. One at a time: a majority of a set of k and one of k + 1 always meet. Up to 2f + 1, only where that many stores are live; spread over zones as an heir is. Ruled out: laying sets out anew (accepted messages would stand on the old majority), two seats at once (3 and 5: majorities of 2 and 3 need not meet).

--- a/crates/placement/src/primary/replacement.rs
+++ b/crates/placement/src/primary/replacement.rs
@@ -1,5 +1,6 @@
 //! Replacement of stores: which store gives up its seat in a write set, and
-//! which one takes it.
+//! which one takes it; and which one joins a set that has fewer stores than the
+//! losses to be borne call for.
 //!
 //! A store leaves a write set when an operator retires it, when it stops and a
 //! successor is there (`departure`), or when it has been silent for so long that
@@ -20,7 +21,8 @@
 /// A daemon without a seat that was silent for this long is a member no more.
 const FORGOTTEN: Span = Span::secs(30);
 
-/// One replacement under way.
+/// One replacement under way, or one more seat: then nobody leaves, and `out`
+/// names the joiner itself, which has no seat yet.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Swap {
     pub out: Daemon,
@@ -118,7 +120,9 @@
     /// Decides for each partition which seat moves, and tells its keeper of
     /// each change at once.
     fn choose_swaps(&mut self, now: Time) {
-        if self.replacements.idle() && self.hard.retiring.is_empty() {
+        let width = self.wanted_width(now);
+        let narrow = self.hard.layout.values().any(|set| set.len() < width);
+        if self.replacements.idle() && self.hard.retiring.is_empty() && !narrow {
             return;
         }
         let places: Vec<Place> = self.hard.layout.keys().cloned().collect();
@@ -127,7 +131,7 @@
             // An order under way may still be committed: until then the one
             // that leaves must not count again.
             let ordered = stands.as_ref().is_some_and(|s| self.asked.contains_key(&reseat_key(&place, &s.0)));
-            let wanted = self.wanted_swap(&place, now);
+            let wanted = self.wanted_swap(&place, now).or_else(|| self.wanted_seat(&place, width, now));
             if ordered || wanted == stands {
                 continue;
             }
@@ -157,6 +161,26 @@
         })
     }
 
+    /// How many stores a write set should have, of those that are there.
+    fn wanted_width(&self, now: Time) -> usize {
+        let stays = |m: &&Member| self.live(&m.id, now) && !self.retiring(&m.id) && !self.departing(&m.id);
+        self.startup.tolerates.replicas(self.hard.of(Kind::Store).filter(stays).count())
+    }
+
+    /// The store that takes one more seat in a write set of fewer than `width`
+    /// stores, laid out when there were fewer. One at a time: a majority of the
+    /// set before and one of the set after always have a store in common. A
+    /// seat that has to move goes first.
+    fn wanted_seat(&self, place: &Place, width: usize, now: Time) -> Option<(Daemon, Daemon)> {
+        let set = self.hard.layout.get(place)?;
+        let moves = |d: &Daemon| self.absent(d) || self.departing(d) || self.retiring(d);
+        if set.len() >= width || set.iter().any(|seat| moves(&seat.0)) {
+            return None;
+        }
+        let joiner = self.joiner(place, None, now).filter(|d| !moves(d))?;
+        Some((joiner.clone(), joiner))
+    }
+
     /// Whether a write set would have more of its seats in one zone if
     /// `joiner` took the seat of `out`.
     fn crowds(&self, set: &[(Daemon, Mark)], out: &Daemon, joiner: &Daemon) -> bool {
@@ -176,13 +200,17 @@
     /// The store that would take `out`'s seat in a partition's write set: one
     /// that is live, from the zone with the fewest seats of the set.
     pub(super) fn heir(&self, place: &Place, out: &Daemon, now: Time) -> Option<Daemon> {
+        self.joiner(place, Some(out), now)
+    }
+
+    fn joiner(&self, place: &Place, out: Option<&Daemon>, now: Time) -> Option<Daemon> {
         let set = self.hard.layout.get(place)?;
         let zone = |d: &Daemon| self.hard.members.get(d).map(|m| m.zone.clone());
-        let zones: Vec<_> = set.iter().filter(|s| s.0 != *out).map(|s| zone(&s.0)).collect();
+        let zones: Vec<_> = set.iter().filter(|s| Some(&s.0) != out).map(|s| zone(&s.0)).collect();
         let seats_in = |z: &Zone| zones.iter().filter(|x| x.as_ref() == Some(z)).count();
         self.hard
             .of(Kind::Store)
-            .filter(|m| m.id != *out && self.live(&m.id, now) && !set.iter().any(|s| s.0 == m.id))
+            .filter(|m| Some(&m.id) != out && self.live(&m.id, now) && !set.iter().any(|s| s.0 == m.id))
             .min_by_key(|m| (seats_in(&m.zone), hash_of(format!("{place}@{}", m.id).as_bytes())))
             .map(|m| m.id.clone())
     }
@@ -196,7 +224,10 @@
             return;
         }
         let out = swap.out.clone();
-        let order = Order::Reseat { place: place.clone(), out: out.clone(), put };
+        let order = match out == put.0 {
+            true => Order::Widen { place: place.clone(), put },
+            false => Order::Reseat { place: place.clone(), out: out.clone(), put },
+        };
         self.propose_once(reseat_key(place, &out), order, now);
     }
 
--- a/crates/waitlist/tests/replacement.rs
+++ b/crates/waitlist/tests/replacement.rs
@@ -338,3 +338,32 @@
     s.run(1_000);
     assert!(status(&mut s).contains(r#""lacks_copies_ms":null"#));
 }
+
+/// One more seat: nobody leaves, and `out` names the joiner itself.
+#[test]
+fn a_store_that_joins_beside_the_others_is_made_whole_and_then_counts() {
+    let mut s = Stores::new();
+    s.hand_in(20);
+    s.swap = Some((daemon(JOINER), daemon(JOINER), 1));
+    s.run(3_000);
+    assert!(s.seat_may_move());
+    assert_eq!(s.has(JOINER), 20);
+    // What is handed in meanwhile is accepted on the old majority.
+    s.hand_in(5);
+    assert!(s.seat_may_move(), "what came since is missing, and may be: a majority of the old set has it");
+    let joiner = (daemon(JOINER), s.mark(JOINER));
+    s.set.push(joiner);
+    s.swap = None;
+    s.run(1_000);
+    assert_eq!(s.keeper().mates_needed(), 2, "three of four");
+    s.hand_in(10);
+    let full = [LEAVER, THIRD, JOINER].iter().filter(|name| s.has(name) == 35).count();
+    assert!(full >= 2, "{full} of the other three have what was accepted");
+    // Two of the four go: what is left can't be accepted.
+    s.cut.insert(daemon(LEAVER));
+    s.cut.insert(daemon(JOINER));
+    s.asked += 1;
+    s.carry(s.asked, Bytes::from_static(b"too few"));
+    s.run(3_000);
+    assert!(!s.accepted.contains(&s.asked), "accepted on half of the set");
+}
