--- a/crates/election/src/replica/membership.rs
+++ b/crates/election/src/replica/membership.rs
@@ -165,6 +165,18 @@
         self.peers(now).iter().any(spare)
     }
 
+    /// The voters that answer this leader just now with the data directory that
+    /// counts, the leader among them.
+    pub fn present_voters(&self, now: Time) -> Vec<(Daemon, Voter)> {
+        let answers = |daemon: &Daemon, voter: &Voter| {
+            let progress = self.progress.get(daemon).filter(|progress| progress.mark == voter.mark && progress.heard > Time(0));
+            progress.is_some_and(|progress| progress.silent_for(now) < self.settings.timing.connected_within())
+        };
+        let voters = self.configuration.voters.iter();
+        let present = voters.filter(|(daemon, voter)| **daemon == self.settings.id || answers(daemon, voter));
+        present.map(|(daemon, voter)| (daemon.clone(), voter.clone())).collect()
+    }
+
     fn peers(&self, now: Time) -> BTreeMap<Daemon, Peer> {
         let mut peers: BTreeMap<Daemon, Peer> =
             self.progress.iter().map(|(daemon, progress)| (daemon.clone(), self.peer(daemon, progress, now))).collect();
