News that grows with the fleet: agents left out, long configurations compressed

The list of workers went to every agent, agents were news to each other at each start, and each change of a configuration of some 200 kB was queued once for each daemon. Change: workers go to deliveries alone; members are those that hold leases; an agent's new life is no entry of the log; a configuration of 16 kB or more is compressed once for each version and sent so to those that say they read it.

--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -303,6 +303,7 @@
             have: f.have.clone(),
             me: f.me.clone(),
             report: Some(report.clone()),
+            reads_compressed: false,
         };
         let msg = need(f);
         for core in self.cores.keys().filter(|d| !self.cut.contains(*d)) {
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -182,6 +182,7 @@
         have: Vector::default(),
         me: store.clone(),
         report: Some(Report::default()),
+        reads_compressed: false,
     };
     let out = frozen.step(Event::Hear { from: store.id.clone(), msg: need }, f.now);
     assert!(!out.iter().any(|e| matches!(e, Effect::Say(_, Msg::News { .. }))), "{out:?}");
--- a/crates/placement/tests/replacement.rs
+++ b/crates/placement/tests/replacement.rs
@@ -115,7 +115,14 @@
         let swaps = places.iter().map(|p| (p.clone(), old[p])).collect();
         let report = Report { whole, swaps, ..Report::default() };
         let heard = (f.cores[&primary].election.term(), f.now);
-        let msg = Msg::Need { asked: f.now, heard, have: Vector::default(), me: fake.me.clone(), report: Some(report) };
+        let msg = Msg::Need {
+            asked: f.now,
+            heard,
+            have: Vector::default(),
+            me: fake.me.clone(),
+            report: Some(report),
+            reads_compressed: false,
+        };
         f.step(&primary, Event::Hear { from: keeper, msg });
     }
     assert_eq!((seats(&f, "store-1"), seats(&f, "store-4")), (6, 0));
--- a/crates/scale/src/axes/reports.rs
+++ b/crates/scale/src/axes/reports.rs
@@ -18,6 +18,7 @@
             have: Vector::default(),
             me: me.clone(),
             report: Some(report),
+            reads_compressed: false,
         };
         let claims: Vec<Claim> =
             (0..n).map(|i| Claim { duty: Duty::Endpoint(format!("destination-{i:07}")), epoch, checkpoint: false }).collect();
