Names: a sibling is a peer, in the whole tree

The field's word for another daemon of one's own kind. Sib, which counts what one has, is PeerProgress. Ruled out: replica, which names the copy and not the daemon.

--- a/crates/delivery/src/run/workers.rs
+++ b/crates/delivery/src/run/workers.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    pub(super) fn siblings(&self) -> u32 {
+    pub(super) fn peers(&self) -> u32 {
         (self.link.members.keys().filter(|d| d.kind() == Kind::Delivery).count() as u32).max(1)
     }
 
@@ -84,7 +84,7 @@
         }
         let all: Vec<&Daemon> = self.link.members.keys().filter(|d| d.kind() == Kind::Delivery).collect();
         let at = all.iter().position(|d| **d == self.startup.me.id).unwrap_or(0) as u32;
-        let wide = Slice::WHOLE / self.siblings();
+        let wide = Slice::WHOLE / self.peers();
         vec![Slice { from: at * wide, to: (at + 1) * wide }]
     }
 
@@ -114,7 +114,7 @@
             })
             .collect();
         // One that warms up is not preferred: with a backlog it would get all
-        // of it, and its warm siblings in other zones next to nothing.
+        // of it, and its warm peers in other zones next to nothing.
         let here = &self.startup.me.zone;
         if near && fit.iter().any(|w| w.info.zone == *here && !w.ramp.warming(now)) {
             fit.retain(|w| w.info.zone == *here);
--- a/crates/delivery/tests/worker_choice.rs
+++ b/crates/delivery/tests/worker_choice.rs
@@ -207,7 +207,7 @@
 
 /// Finding of the soak (seed 35206): all deliveries had been down, and the one
 /// that was back sent a backlog to the one worker of its zone, which warmed up:
-/// eleven in a second, and two to each of its siblings.
+/// eleven in a second, and two to each of its peers.
 #[test]
 fn a_worker_that_warms_up_is_not_preferred_for_its_zone() {
     let mut house = House::new(&["sheets-1", "far-1", "far-2"]);
--- a/crates/scale/src/axes/frames.rs
+++ b/crates/scale/src/axes/frames.rs
@@ -46,12 +46,12 @@
     // One thread for each end, as in two daemons.
     let (words, written) = tokio::sync::mpsc::unbounded_channel::<Vec<u8>>();
     let (end, ended) = tokio::sync::oneshot::channel::<()>();
-    let (lines, sibling) = (one.clone(), to.clone());
+    let (lines, peer) = (one.clone(), to.clone());
     let sends = std::thread::spawn(move || {
         network()?.block_on(async move {
             let (mut lines, mut written) = (wires::Lines::new(lines, cuts), written);
             while let Some(frame) = written.recv().await {
-                lines.write(sibling.clone(), frame);
+                lines.write(peer.clone(), frame);
             }
             Some(())
         })
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -120,7 +120,7 @@
         self.push(first, at, Ev::Clock);
     }
 
-    /// Each start is another life, as its siblings see it.
+    /// Each start is another life, as its peers see it.
     fn life_of(&self, at: usize) -> Mark {
         Mark(LIFE.0 + self.nodes[at].life)
     }
--- a/crates/scale/src/model.rs
+++ b/crates/scale/src/model.rs
@@ -685,7 +685,7 @@
             "a machine fails",
             &format!("{} a day", count(given("failing"))),
             &format!("{} partitions, {} to copy", count(kept), bytes(stands)),
-            &format!("{} from one sibling at {}", time(stands / given("disk") * 1e6), flow(given("disk"))),
+            &format!("{} from one peer at {}", time(stands / given("disk") * 1e6), flow(given("disk"))),
             &format!(
                 "{} from a cell's {} others",
                 time(stands / given("disk") / (stores / c - 1.0) * 1e6),
--- a/crates/shell/src/disk.rs
+++ b/crates/shell/src/disk.rs
@@ -56,7 +56,7 @@
 
     /// A file that can't be read after several attempts comes empty, like one
     /// whose checksum fails: its owner takes the folder for lost, and gets
-    /// the state back from its siblings.
+    /// the state back from its peers.
     fn read(&self, name: &str) -> Bytes {
         retry_read(|| self.folder.load(name)).unwrap_or_else(|e| {
             log::error!("{} {}: {e}", Note::DiskFailed.number(), Note::DiskFailed.what());
--- a/crates/shell/src/limits.rs
+++ b/crates/shell/src/limits.rs
@@ -59,7 +59,7 @@
         set("messages", &mut b.messages, part(self.memory_mb, HEADS) / HEAD_BYTES);
         set("disk", &mut b.disk, part(self.disk_mb, DISK));
         set("bytes", &mut b.bytes, part(self.disk_mb, BODIES));
-        // Half of the sockets for callers, half for siblings and those called.
+        // Half of the sockets for callers, half for peers and those called.
         let callers = self.fds.saturating_sub(FILES) / 2;
         if callers > 0 && free("intake", "connections") {
             startup.intake.connections = startup.intake.connections.min(callers as usize);
--- a/crates/shell/src/packing.rs
+++ b/crates/shell/src/packing.rs
@@ -1,4 +1,4 @@
-//! Compression of what goes over one line to a sibling. Frames of one line are
+//! Compression of what goes over one line to a peer. Frames of one line are
 //! much alike: what one of them said is not written again by the next.
 //!
 //! A packed frame is `PACKED` and a piece of the line's zstd stream; unpacked,
--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -48,9 +48,9 @@
     pub cluster: String,
     pub id: String,
     pub zone: String,
-    /// For siblings, TCP and UDP.
+    /// For peers, TCP and UDP.
     pub listen: String,
-    /// Where siblings reach it, when that is not `listen`.
+    /// Where peers reach it, when that is not `listen`.
     #[serde(default)]
     pub announce: Option<String>,
     /// The product's own interface; may be left out where the platform's
@@ -86,9 +86,9 @@
     /// The machine's own name.
     #[serde(default, skip_serializing_if = "usual")]
     pub machine: String,
-    /// Where placement daemons listen for siblings, for seeds without a name.
-    #[serde(default, skip_serializing_if = "usual")]
-    pub sibling_port: u16,
+    /// Where placement daemons listen for peers, for seeds without a name.
+    #[serde(default, rename = "sibling_port", skip_serializing_if = "usual")]
+    pub peer_port: u16,
     /// What the machine gives the process; bounds not set follow from it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limits: Option<Limits>,
@@ -191,7 +191,7 @@
     pub hands: usize,
     /// Entries of the ring into the core.
     pub ring: usize,
-    /// Frames waiting for one sibling.
+    /// Frames waiting for one peer.
     pub frames: usize,
 }
 
@@ -329,14 +329,14 @@
         self.seeds.iter().map(|s| self.seed(s)).collect()
     }
     /// A seed by name, or by where it serves operators: it then listens for
-    /// siblings at the same IP number.
+    /// peers at the same IP number.
     fn seed(&self, value: &str) -> Result<Named, StartupError> {
         if value.contains('=') || self.speech == Words::Own {
             return named("seeds", value);
         }
         let addr: SocketAddr = value.parse().ok().context(AddressSnafu { key: "seeds", value })?;
-        ensure!(self.sibling_port != 0, NeededSnafu { key: "sibling_port" });
-        let at = SocketAddr::new(addr.ip(), self.sibling_port);
+        ensure!(self.peer_port != 0, NeededSnafu { key: "sibling_port" });
+        let at = SocketAddr::new(addr.ip(), self.peer_port);
         Ok(Named { id: Daemon(format!("placement-{}", addr.ip())), addr: at.to_string() })
     }
     pub fn agent(&self) -> Result<Named, StartupError> {
--- a/crates/shell/tests/packing.rs
+++ b/crates/shell/tests/packing.rs
@@ -91,7 +91,7 @@
     assert!(Unpacker::default().unpack(decoded(&mut packed).unwrap()).is_err());
 }
 
-/// The bytes that a line to a sibling carries for `frames` like frames, and
+/// The bytes that a line to a peer carries for `frames` like frames, and
 /// how many of those were read from it.
 async fn carried(reads_packed: bool, zone: &str, frames: usize) -> (usize, usize) {
     let startup = |id: &str| {
@@ -103,16 +103,16 @@
     let own_address = sockets.address().unwrap();
     let (ring, heard) = crossbeam_channel::bounded(64);
     let serving = tokio::spawn(dw_shell::wires::serve(wires.clone(), sockets, ring.clone()));
-    let sibling = Daemon("store-2".into());
+    let peer = Daemon("store-2".into());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    tell(&wires, &own_address, (&sibling, zone), &address, reads_packed, &heard).await;
+    tell(&wires, &own_address, (&peer, zone), &address, reads_packed, &heard).await;
     let mut lines = Lines::new(wires.clone(), ring);
     let (mut bytes, mut read, mut unpacker) = (0, 0, Unpacker::default());
     let mut stream = None;
     let (mut buffer, mut codec) = (BytesMut::new(), codec());
     for n in 0..frames {
-        lines.write(sibling.clone(), frame(n as u64, 16));
+        lines.write(peer.clone(), frame(n as u64, 16));
         if stream.is_none() {
             stream = Some(timeout(LONG, listener.accept()).await.unwrap().unwrap().0);
         }
@@ -131,20 +131,20 @@
     (bytes, read)
 }
 
-/// The sibling says something, and with it whether it reads packed frames.
+/// The peer says something, and with it whether it reads packed frames.
 async fn tell(
     wires: &Arc<Wires>,
     to: &str,
-    (sibling, zone): (&Daemon, &str),
+    (peer, zone): (&Daemon, &str),
     address: &str,
     reads_packed: bool,
     heard: &crossbeam_channel::Receiver<Event>,
 ) {
-    wires.learn(sibling, address);
+    wires.learn(peer, address);
     let envelope = Envelope {
         speech: SPEECH,
         cluster: "c".into(),
-        from: sibling.clone(),
+        from: peer.clone(),
         addr: address.into(),
         life: Mark(1),
         to: "store-1".into(),
--- a/crates/shell/tests/startup.rs
+++ b/crates/shell/tests/startup.rs
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn seeds_by_address_become_siblings() {
+fn seeds_by_address_become_peers() {
     let s = read(base()).unwrap();
     s.check("placement").unwrap();
     let seeds = s.seeds().unwrap();
--- a/crates/shell/tests/wires.rs
+++ b/crates/shell/tests/wires.rs
@@ -1,4 +1,4 @@
-//! Lines to siblings that go away and come back.
+//! Lines to peers that go away and come back.
 use dw_shell::prelude::*;
 use dw_shell::wires::{bind, Lines, Wires};
 use std::net::TcpListener;
@@ -9,11 +9,11 @@
 
 const LONG: Duration = Duration::from_secs(20);
 
-/// Lines of one daemon, and the sibling that they lead to.
+/// Lines of one daemon, and the peer that they lead to.
 struct Pair {
     wires: Arc<Wires>,
     lines: Lines,
-    sibling: Daemon,
+    peer: Daemon,
     listener: tokio::net::TcpListener,
     heard: crossbeam_channel::Receiver<Event>,
 }
@@ -25,15 +25,15 @@
         let (wires, _sockets) = bind(&startup, startup.member(Mark(1))).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
-        let sibling = Daemon("store-2".into());
-        wires.learn(&sibling, &listener.local_addr().unwrap().to_string());
+        let peer = Daemon("store-2".into());
+        wires.learn(&peer, &listener.local_addr().unwrap().to_string());
         let listener = tokio::net::TcpListener::from_std(listener).unwrap();
         let (ring, heard) = crossbeam_channel::bounded(16);
-        Pair { lines: Lines::new(wires.clone(), ring), wires, sibling, listener, heard }
+        Pair { lines: Lines::new(wires.clone(), ring), wires, peer, listener, heard }
     }
 
     fn write(&mut self, n: u8) {
-        self.lines.write(self.sibling.clone(), vec![n; 4]);
+        self.lines.write(self.peer.clone(), vec![n; 4]);
     }
 
     async fn accept(&self) -> TcpStream {
@@ -69,9 +69,9 @@
 }
 
 #[tokio::test]
-async fn the_first_frame_after_a_sibling_s_restart_arrives() {
+async fn the_first_frame_after_a_peer_s_restart_arrives() {
     let mut pair = Pair::new();
-    let (sibling, heard) = (pair.sibling.clone(), pair.heard.clone());
+    let (peer, heard) = (pair.peer.clone(), pair.heard.clone());
     for n in 0..3u8 {
         pair.write(n);
         let mut stream = pair.accept().await;
@@ -83,13 +83,13 @@
             let heard = heard.clone();
             move || heard.recv_timeout(LONG)
         });
-        assert_eq!(told.await.unwrap(), Ok(Event::Cut(sibling.clone())));
+        assert_eq!(told.await.unwrap(), Ok(Event::Cut(peer.clone())));
     }
 }
 
 const BIG: usize = 256 << 10;
 
-/// Reads one big frame in small pieces, as a busy sibling does.
+/// Reads one big frame in small pieces, as a busy peer does.
 async fn expect_big(stream: &mut TcpStream, n: u8) -> std::io::Result<()> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).await?;
@@ -111,7 +111,7 @@
     const FRAMES: u8 = 60;
     let mut pair = Pair::new();
     for n in 0..FRAMES {
-        pair.lines.write(pair.sibling.clone(), vec![n; BIG]);
+        pair.lines.write(pair.peer.clone(), vec![n; BIG]);
     }
     let mut stream = pair.accept().await;
     for n in 0..FRAMES {
@@ -119,13 +119,13 @@
     }
 }
 
-/// What waits for a sibling that reads nothing is bounded in bytes too: whole
+/// What waits for a peer that reads nothing is bounded in bytes too: whole
 /// copies would fill the memory long before the count of frames does.
 #[tokio::test]
 async fn what_waits_for_a_line_is_bounded_in_bytes() {
     let mut pair = Pair::new();
     for n in 0..64 {
-        pair.lines.write(pair.sibling.clone(), vec![n; 1 << 20]);
+        pair.lines.write(pair.peer.clone(), vec![n; 1 << 20]);
     }
     assert_eq!(pair.wires.dropped.load(std::sync::atomic::Ordering::Relaxed), 48);
     let mut stream = pair.accept().await;
--- a/crates/waitlist/src/sibling.rs
+++ b/crates/waitlist/src/peer.rs
@@ -1,4 +1,4 @@
-//! What a keeper knows of one sibling's copy of its partition.
+//! What a keeper knows of one peer's copy of its partition.
 use crate::prelude::*;
 
 /// A mate that owes an acknowledgement may be silent for so many times what
@@ -45,7 +45,7 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Sib {
+pub struct PeerProgress {
     pub mark: Mark,
     /// Ops of this epoch it has synced; `None` until it is whole under it.
     pub have: Option<u64>,
@@ -63,7 +63,7 @@
     slowest: Span,
 }
 
-impl Sib {
+impl PeerProgress {
     /// Ops up to `upto` were sent to it.
     pub fn note_sent(&mut self, upto: u64, now: Time) {
         self.sent = upto;
--- a/crates/waitlist/src/store/append.rs
+++ b/crates/waitlist/src/store/append.rs
@@ -15,19 +15,19 @@
         let Some(own) = p.own.as_mut() else { return };
         let top = p.n;
         let epoch = own.epoch;
-        let Some(have) = own.sibs.get(mate).and_then(|s| s.have) else { return };
-        let sent = own.sibs.get(mate).map_or(have, |s| s.sent).max(have);
+        let Some(have) = own.peers.get(mate).and_then(|s| s.have) else { return };
+        let sent = own.peers.get(mate).map_or(have, |s| s.sent).max(have);
         if sent >= top || sent - have > 4 * 1024 {
             return;
         }
         let Some(ops) = own.ops_from(sent + 1, top) else {
             // Too far behind for the ops kept: it copies the whole.
-            if let Some(s) = own.sibs.get_mut(mate) {
+            if let Some(s) = own.peers.get_mut(mate) {
                 (s.have, s.short) = (None, true);
             }
             return;
         };
-        if let Some(s) = own.sibs.get_mut(mate) {
+        if let Some(s) = own.peers.get_mut(mate) {
             s.note_sent(sent + ops.len() as u64, now);
             if s.sent < top {
                 self.dirty.insert(place.clone());
@@ -37,7 +37,7 @@
     }
 
     pub(super) fn on_append(&mut self, from: Daemon, place: Place, epoch: Epoch, first: u64, ops: Vec<Op>, now: Time) {
-        // Unacknowledged, the second copy goes to another sibling.
+        // Unacknowledged, the second copy goes to another peer.
         if self.refuses_writes() {
             return;
         }
@@ -81,21 +81,21 @@
         let counts = own.counts(&from, mark);
         // The last op it lacks must be kept, if it lacks any.
         let kept = upto == top || own.op(upto + 1, top).is_some();
-        let sib = own.sibs.entry(from.clone()).or_default();
-        sib.short = !kept;
-        sib.note_acknowledged(upto, now);
-        sib.mark = mark;
-        let first = sib.have.is_none();
-        sib.have = Some(sib.have.unwrap_or(0).max(upto));
-        sib.sent = sib.sent.max(upto);
+        let peer = own.peers.entry(from.clone()).or_default();
+        peer.short = !kept;
+        peer.note_acknowledged(upto, now);
+        peer.mark = mark;
+        let first = peer.have.is_none();
+        peer.have = Some(peer.have.unwrap_or(0).max(upto));
+        peer.sent = peer.sent.max(upto);
         if first {
-            sib.sent = upto;
+            peer.sent = upto;
         }
         if !counts {
             if !own.covers(&from, upto) {
                 // Made for an earlier replacement: it is copied once more.
-                let Some(sib) = own.sibs.get_mut(&from) else { return };
-                (sib.have, sib.short, sib.asked) = (None, true, Time(0));
+                let Some(peer) = own.peers.get_mut(&from) else { return };
+                (peer.have, peer.short, peer.asked) = (None, true, Time(0));
                 return;
             }
             // A copy made whole under a new mark: placement may count it now.
@@ -117,16 +117,16 @@
         }
         let was = own.was;
         let mark = own.set.iter().find(|s| s.0 == from).map_or(Mark(0), |s| s.1);
-        let Some(sib) = own.sibs.get_mut(&from) else { return };
-        sib.heard = now;
+        let Some(peer) = own.peers.get_mut(&from) else { return };
+        peer.heard = now;
         if installed == epoch {
-            sib.sent = n;
-            sib.have = sib.have.map(|h| h.min(n));
+            peer.sent = n;
+            peer.have = peer.have.map(|h| h.min(n));
             self.dirty.insert(place);
             return;
         }
-        sib.have = None;
-        sib.asked = now;
+        peer.have = None;
+        peer.asked = now;
         self.say(&from, Msg::Lag { place, epoch, was, mark, short: false });
     }
 
@@ -140,7 +140,7 @@
         self.commit(place, now);
     }
 
-    /// What is synced here and on enough counting siblings, one of them in
+    /// What is synced here and on enough counting peers, one of them in
     /// another zone, stands.
     pub(super) fn commit(&mut self, place: &Place, now: Time) {
         let zone = self.startup.me.zone.clone();
@@ -152,7 +152,7 @@
         let leaves = |d: &Daemon| own.swap.as_ref().is_some_and(|s| s.0 == *d);
         let far = |d: &Daemon| members.get(d).is_some_and(|m| m.zone != zone);
         let mut copies: Vec<(u64, bool)> = own
-            .sibs
+            .peers
             .iter()
             .filter(|(d, s)| own.counts(d, s.mark) && !leaves(d))
             .filter_map(|(d, s)| Some((s.have?, far(d))))
--- a/crates/waitlist/src/store/copy_source.rs
+++ b/crates/waitlist/src/store/copy_source.rs
@@ -41,9 +41,9 @@
             return;
         }
         // One that copies is not silent, however long that takes.
-        let sib = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()).and_then(|own| own.sibs.get_mut(&from));
-        if let Some(sib) = sib {
-            sib.heard = now;
+        let peer = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()).and_then(|own| own.peers.get_mut(&from));
+        if let Some(peer) = peer {
+            peer.heard = now;
         }
         let bodies = self.bodies_of(&place, &ids, now);
         let who = Parked::Want { from: from.clone(), epoch, ids };
@@ -60,9 +60,9 @@
             return;
         }
         // One that copies is not silent, however long that takes.
-        let sib = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()).and_then(|own| own.sibs.get_mut(&from));
-        if let Some(sib) = sib {
-            sib.heard = now;
+        let peer = self.parts.get_mut(&place).and_then(|p| p.own.as_mut()).and_then(|own| own.peers.get_mut(&from));
+        if let Some(peer) = peer {
+            peer.heard = now;
         }
         let bodies = self.bodies_of(&place, &request.wanted, now);
         let who = Parked::CopyPart { from: from.clone(), epoch, request: request.clone() };
--- a/crates/waitlist/src/store/mates.rs
+++ b/crates/waitlist/src/store/mates.rs
@@ -1,4 +1,4 @@
-//! The siblings of a partition that its keeper sees to: the mates that get every
+//! The peers of a partition that its keeper sees to: the mates that get every
 //! operation, and those whose copy does not count yet.
 use crate::prelude::*;
 
@@ -10,15 +10,15 @@
 /// A store that has to be made whole for its seat, after this.
 const SEAT_ASKED_AGAIN: Span = Span::secs(1);
 const SEAL_ASKED_AGAIN: Span = Span::secs(1);
-/// A sibling of this zone that is no mate is drawn in once in so long.
+/// A peer of this zone that is no mate is drawn in once in so long.
 const NEAR_DRAWN_AGAIN: Span = Span::secs(4);
 /// A partition that has too few copies for so long is told of.
 const SHORT_TOLD: Span = Span::secs(3);
 
 impl Store {
-    /// Chooses the siblings that get every op, as many as must have it beside
+    /// Chooses the peers that get every op, as many as must have it beside
     /// this store and one at least in another zone. A `lost` mate gives way to
-    /// the next sibling, if there is another.
+    /// the next peer, if there is another.
     pub(super) fn match_mates(&mut self, place: &Place, lost: Option<&Daemon>, now: Time) {
         let zones: BTreeMap<Daemon, Zone> = self.link.members.values().map(|m| (m.id.clone(), m.zone.clone())).collect();
         let zone = self.startup.me.zone.clone();
@@ -54,7 +54,7 @@
         self.tend(place, now);
     }
 
-    /// The siblings that may be mates of a partition, the fittest first.
+    /// The peers that may be mates of a partition, the fittest first.
     fn mate_candidates(&self, place: &Place, zones: &BTreeMap<Daemon, Zone>) -> Vec<Daemon> {
         let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return Vec::new() };
         let me = &self.startup.me;
@@ -78,7 +78,7 @@
         all
     }
 
-    /// A sibling closed its line: where something waits for its copy, another
+    /// A peer closed its line: where something waits for its copy, another
     /// takes its part at once.
     pub(super) fn on_cut(&mut self, d: &Daemon, now: Time) {
         let waits = |p: &Part| p.own.as_ref().is_some_and(|o| o.mates.contains_key(d) && !o.waits.is_empty());
@@ -96,7 +96,7 @@
         let longest = self.startup.terms.length.percent(QUIET);
         let silent = |own: &Keep| {
             let patience = Patience { least: own.patience_least.now(now), longest };
-            let is_silent = |mate: &Daemon, since: &Time| own.sibs.get(mate).is_some_and(|s| s.is_silent(*since, patience, now));
+            let is_silent = |mate: &Daemon, since: &Time| own.peers.get(mate).is_some_and(|s| s.is_silent(*since, patience, now));
             !own.waits.is_empty() && own.mates.iter().any(|(mate, since)| is_silent(mate, since))
         };
         let due: Vec<Place> =
@@ -117,8 +117,8 @@
         let (mut to_copy, lost) = self.tend_mates(place, now);
         to_copy.extend(self.seats_to_fill(place, now));
         self.seal_unfenced(place, now);
-        for sibling in to_copy {
-            self.offer_copy(place, sibling);
+        for peer in to_copy {
+            self.offer_copy(place, peer);
         }
         self.watch_copies(place, now);
         self.dirty.insert(place.clone());
@@ -129,7 +129,7 @@
         self.draw_near(place, now);
     }
 
-    /// Draws a sibling of this zone in where all mates stand elsewhere, as may
+    /// Draws a peer of this zone in where all mates stand elsewhere, as may
     /// be after an opening or a failure: each operation crosses zones once
     /// less. Until it has caught up it is one mate more than is needed.
     fn draw_near(&mut self, place: &Place, now: Time) {
@@ -165,9 +165,9 @@
         let top = p.n;
         let patience = Patience { least: own.patience_least.now(now), longest };
         for (mate, since) in own.mates.clone() {
-            let sib = own.sibs.entry(mate.clone()).or_default();
-            let behind = sib.note_behind(top, now);
-            let quiet = !still && sib.is_silent(since, patience, now);
+            let peer = own.peers.entry(mate.clone()).or_default();
+            let behind = peer.note_behind(top, now);
+            let quiet = !still && peer.is_silent(since, patience, now);
             let leaves = own.swap.as_ref().is_some_and(|s| s.0 == mate);
             if (behind && quiet) || leaves {
                 if lost.is_none() && !leaves {
@@ -176,11 +176,11 @@
                 lost.get_or_insert(mate);
                 continue;
             }
-            if behind && now.since(sib.asked) > MATE_ASKED_AGAIN {
-                sib.asked = now;
-                match sib.have {
+            if behind && now.since(peer.asked) > MATE_ASKED_AGAIN {
+                peer.asked = now;
+                match peer.have {
                     None => to_copy.push(mate.clone()),
-                    Some(h) => sib.sent = h,
+                    Some(h) => peer.sent = h,
                 }
             }
         }
@@ -203,9 +203,9 @@
                 continue;
             }
             let whole = own.whole.get(&store) == disk.as_ref();
-            let sib = own.sibs.entry(store.clone()).or_default();
-            if !whole && now.since(sib.asked) > SEAT_ASKED_AGAIN {
-                sib.asked = now;
+            let peer = own.peers.entry(store.clone()).or_default();
+            if !whole && now.since(peer.asked) > SEAT_ASKED_AGAIN {
+                peer.asked = now;
                 to_copy.push(store);
             }
         }
@@ -257,13 +257,13 @@
         }
     }
 
-    /// Tells a sibling that it lacks this epoch, so that it asks for a copy.
-    fn offer_copy(&mut self, place: &Place, sibling: Daemon) {
+    /// Tells a peer that it lacks this epoch, so that it asks for a copy.
+    fn offer_copy(&mut self, place: &Place, peer: Daemon) {
         let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
-        let mark = own.set.iter().find(|seat| seat.0 == sibling).map_or(Mark(0), |seat| seat.1);
-        let short = own.sibs.get(&sibling).is_some_and(|s| s.short);
+        let mark = own.set.iter().find(|seat| seat.0 == peer).map_or(Mark(0), |seat| seat.1);
+        let short = own.peers.get(&peer).is_some_and(|s| s.short);
         let lag = Msg::Lag { place: place.clone(), epoch: own.epoch, was: own.was, mark, short };
-        self.note(Note::Repairing, format!("{place} at {sibling}"));
-        self.say(&sibling, lag);
+        self.note(Note::Repairing, format!("{place} at {peer}"));
+        self.say(&peer, lag);
     }
 }
--- a/crates/waitlist/src/store/posts.rs
+++ b/crates/waitlist/src/store/posts.rs
@@ -37,7 +37,7 @@
 const READ: Span = Span::secs(1);
 
 /// When a message was handed in, by this store's clock: what was read from
-/// disk or copied from a sibling tells it by the time of day.
+/// disk or copied from a peer tells it by the time of day.
 pub(super) fn sent(head: &Head, made: Time, wall: u64, now: Time) -> Time {
     if head.born == 0 || wall == 0 {
         return now;
--- a/crates/waitlist/tests/loaded/mod.rs
+++ b/crates/waitlist/tests/loaded/mod.rs
@@ -116,7 +116,7 @@
         self.zones[number - 1].clone()
     }
 
-    /// Which siblings get every operation of the keeper.
+    /// Which peers get every operation of the keeper.
     pub fn mates(&self) -> Vec<Daemon> {
         let own = self.cores[&daemon(KEEPER)].parts[&place()].own.as_ref().expect("a keeper");
         own.mates.keys().cloned().collect()
@@ -181,7 +181,7 @@
         let replica = &self.cores[&self.replica];
         let Some(own) = self.cores[&daemon(KEEPER)].parts[&place()].own.as_ref() else { return false };
         let told = own.whole.get(&self.replica) == Some(&replica.mark);
-        let have = own.sibs.get(&self.replica).and_then(|s| s.have);
+        let have = own.peers.get(&self.replica).and_then(|s| s.have);
         let level = have.is_some_and(|have| have + 200 >= self.cores[&daemon(KEEPER)].parts[&place()].n);
         level && (told || own.counts(&self.replica, replica.mark))
     }
--- a/crates/waitlist/tests/silent_mates.rs
+++ b/crates/waitlist/tests/silent_mates.rs
@@ -1,4 +1,4 @@
-//! How soon a sibling that gets every operation gives way when it falls silent.
+//! How soon a peer that gets every operation gives way when it falls silent.
 mod loaded;
 mod settings;
 use dw_waitlist::prelude::*;
@@ -39,24 +39,24 @@
 /// The same acknowledgements, slower and slower: what is usual of late counts.
 #[test]
 fn one_that_is_slow_is_waited_for_by_its_own_measure() {
-    let mut sibling = Sib::default();
-    sibling.have = Some(0);
+    let mut peer = PeerProgress::default();
+    peer.have = Some(0);
     let patience = Patience { least: Span::millis(150), longest: Span::millis(480) };
     let mut now = Time::millis(10_000);
     for (upto, took) in [(1, 10), (2, 30), (3, 50)] {
-        sibling.note_sent(upto, now);
+        peer.note_sent(upto, now);
         now += Span::millis(took);
-        sibling.have = Some(upto);
-        sibling.note_acknowledged(upto, now);
+        peer.have = Some(upto);
+        peer.note_acknowledged(upto, now);
     }
-    sibling.note_sent(4, now);
-    assert!(sibling.note_behind(4, now));
-    assert!(!sibling.is_silent(Time(0), patience, now + Span::millis(390)));
-    assert!(sibling.is_silent(Time(0), patience, now + Span::millis(410)));
+    peer.note_sent(4, now);
+    assert!(peer.note_behind(4, now));
+    assert!(!peer.is_silent(Time(0), patience, now + Span::millis(390)));
+    assert!(peer.is_silent(Time(0), patience, now + Span::millis(410)));
     // One that copies the whole, or has shown nothing as a mate, has longest.
     let joined = now + Span::millis(1);
-    assert!(!sibling.is_silent(joined, patience, joined + Span::millis(470)));
-    let mut copying = sibling;
+    assert!(!peer.is_silent(joined, patience, joined + Span::millis(470)));
+    let mut copying = peer;
     copying.have = None;
     assert!(!copying.is_silent(Time(0), patience, now + Span::millis(470)));
     assert!(copying.is_silent(Time(0), patience, now + Span::millis(490)));
@@ -79,10 +79,10 @@
     assert_eq!(least.now(now + Span::secs(60)), Span::millis(150));
 }
 
-/// All siblings answer late from some moment on, as under a load that is too
+/// All peers answer late from some moment on, as under a load that is too
 /// high: mates change a few times, not on and on.
 #[test]
-fn a_load_that_slows_all_siblings_does_not_make_mates_change_on_and_on() {
+fn a_load_that_slows_all_peers_does_not_make_mates_change_on_and_on() {
     let mut all = busy();
     all.delay(Span::millis(400));
     all.run(Span::secs(6));
