Few learners are sent entries at one time, none again before it could answer

Cause: at 300 machines a placement replica runs on each of some 50 storage machines. The leader sent every entry to all of them at once and again with each third heartbeat, a configuration of some 200 kB with each, until they answered: 277 MB in, one exit over its memory, a configuration acknowledged after 3.2 s. Ruled out: news to agents (8 to 14 kB a second each by then), the list of workers. Voters as before. Test in election membership.rs.

--- a/crates/election/src/progress.rs
+++ b/crates/election/src/progress.rs
@@ -16,6 +16,8 @@
     pub needs_snapshot: bool,
     /// It answered since it was last silent: entries may be sent to it.
     pub replicating: bool,
+    /// When entries or a snapshot were sent to it that it has not answered yet.
+    pub in_flight: Option<Time>,
     /// As it announced itself, or as the configuration named it that it was
     /// left out of; `None` for a voter that never had to.
     pub announced: Option<Voter>,
@@ -34,6 +36,7 @@
             heard: Time(0),
             needs_snapshot: false,
             replicating: false,
+            in_flight: None,
             announced: None,
             left: None,
             since: now,
@@ -58,6 +61,7 @@
             self.left = None;
         }
         self.heard = self.heard.max(sent);
+        self.in_flight = self.in_flight.filter(|begun| sent < *begun);
         true
     }
 
--- a/crates/election/src/replica.rs
+++ b/crates/election/src/replica.rs
@@ -46,6 +46,8 @@
 const HEARTBEATS_PER_JOIN: u64 = 2;
 /// Between two heartbeats to a learner, in heartbeats to voters.
 const HEARTBEATS_PER_LEARNER: u64 = 3;
+/// So many learners get entries or a snapshot at one time.
+const LEARNERS_AT_ONCE: usize = 4;
 /// Entries sent in one request at most.
 const ENTRIES_PER_REQUEST: usize = 256;
 /// A learner that has not answered for this long is followed no more.
--- a/crates/election/src/replica/leading.rs
+++ b/crates/election/src/replica/leading.rs
@@ -84,17 +84,22 @@
     /// Sends one replica what it lacks. To one that is silent only a
     /// heartbeat goes, not the same entries again and again.
     pub(super) fn replicate_to(&mut self, daemon: &Daemon, now: Time) {
+        let may_carry = self.may_carry(daemon, now);
         let Some(progress) = self.progress.get_mut(daemon) else { return };
         if progress.silent_for(now) > self.settings.timing.connected_within() {
             progress.replicating = false;
         }
         let behind_log = progress.next <= self.state.snapshot.index;
-        let with_snapshot = progress.replicating && (progress.needs_snapshot || behind_log);
+        let replicating = progress.replicating && may_carry;
+        let with_snapshot = replicating && (progress.needs_snapshot || behind_log);
         let previous_index = match with_snapshot {
             true => self.state.snapshot.index,
             false => (progress.next - 1).max(self.state.snapshot.index),
         };
-        let last = if progress.replicating { self.state.last_index() } else { previous_index };
+        let last = if replicating { self.state.last_index() } else { previous_index };
+        if with_snapshot || last > previous_index {
+            progress.in_flight = Some(now);
+        }
         let entries = (previous_index + 1..=last).filter_map(|index| self.state.entry(index).cloned());
         let request = AppendRequest {
             term: self.state.term,
@@ -108,6 +113,39 @@
         self.send(daemon.clone(), Message::Append(request));
     }
 
+    /// Whether entries or a snapshot may be sent to this replica now. Voters
+    /// always get them. There may be many learners, and a configuration is long:
+    /// what is on its way to all of them at once, and again with each heartbeat,
+    /// would be more than the leader's memory. So a learner gets nothing again
+    /// before it had time to answer, and few get something at one time.
+    fn may_carry(&self, daemon: &Daemon, now: Time) -> bool {
+        if self.configuration.names().contains(daemon) {
+            return true;
+        }
+        let is_busy = |progress: &Progress| progress.in_flight.is_some_and(|begun| self.may_yet_answer(begun, now));
+        let busy = |name: &Daemon| self.progress.get(name).is_some_and(is_busy);
+        let voters = self.configuration.names();
+        let busy_learners = self.progress.keys().filter(|name| !voters.contains(*name) && busy(name)).count();
+        !busy(daemon) && busy_learners < LEARNERS_AT_ONCE
+    }
+
+    fn may_yet_answer(&self, begun: Time, now: Time) -> bool {
+        now.since(begun) < self.settings.timing.election_timeout
+    }
+
+    /// A learner has answered: another one that lacks something gets it.
+    fn feed_learners(&mut self, now: Time) {
+        let last_index = self.state.last_index();
+        let voters = self.configuration.names();
+        let lacks = |progress: &Progress| progress.replicating && (progress.needs_snapshot || progress.next <= last_index);
+        let lacking = self.progress.iter().filter(|(name, progress)| !voters.contains(*name) && lacks(progress));
+        for learner in lacking.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
+            if self.may_carry(&learner, now) {
+                self.replicate_to(&learner, now);
+            }
+        }
+    }
+
     pub(super) fn on_append_response(
         &mut self,
         from: Daemon,
@@ -134,7 +172,10 @@
         let rejected = !matches!(outcome, AppendOutcome::Accepted { .. });
         let learner = !self.configuration.is_voter(&from, mark);
         self.advance_commit(now);
-        if lacks && (rejected || learner || !was_replicating) {
+        if learner {
+            return self.feed_learners(now);
+        }
+        if lacks && (rejected || !was_replicating) {
             self.replicate_to(&from, now);
         }
     }
--- a/crates/election/tests/membership.rs
+++ b/crates/election/tests/membership.rs
@@ -269,3 +269,51 @@
         assert!(group.propose(1), "seed {seed}: one more loss is not borne");
     }
 }
+
+/// Entries that were sent to learners by these actions, by learner.
+fn carried_to_learners(group: &Group, actions: &[Action<u32>]) -> Vec<Daemon> {
+    let voters = group.voters();
+    let learner = |action: &Action<u32>| match action {
+        Action::Send(to, Message::Append(request)) => {
+            let carries = !request.entries.is_empty() || request.snapshot.is_some();
+            (carries && !voters.contains(to)).then(|| to.clone())
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(learner).collect()
+}
+
+/// With a replica on each of many machines, what a leader sends to all of them
+/// at once, and again before they could answer, would exceed its memory.
+#[test]
+fn few_learners_are_sent_entries_at_one_time_and_all_get_them() {
+    let mut group = Group::new(3);
+    group.policy = MembershipPolicy::tolerating(1);
+    let learners: Vec<Daemon> = (4..=24).map(name).collect();
+    for learner in &learners {
+        group.start_empty(learner, false);
+    }
+    group.run(5_000);
+    assert!(group.propose(1));
+    group.run(3_000);
+    for learner in &learners {
+        assert_eq!(group.applied(learner), [1], "{learner}");
+    }
+    // Nobody hears what the leader sends from here on.
+    let leader = group.leader().unwrap();
+    let now = group.now;
+    let replica = &mut group.nodes.get_mut(&leader).unwrap().replica;
+    let mut actions = replica.propose(2, now).map(|(_, _, actions)| actions).ok().unwrap();
+    for step in 1..=8 {
+        let at = now + Span::millis(100 * step);
+        let writes: Vec<u64> =
+            actions.iter().filter_map(|action| if let Action::Persist(n, _) = action { Some(*n) } else { None }).collect();
+        actions.extend(writes.into_iter().flat_map(|write| replica.persisted(write, at)));
+        actions.extend(replica.tick(at));
+    }
+    let sent = carried_to_learners(&group, &actions);
+    let different: BTreeSet<&Daemon> = sent.iter().collect();
+    assert!(!sent.is_empty());
+    assert_eq!(sent.len(), different.len(), "the same learner twice before it could answer: {sent:?}");
+    assert!(sent.len() <= 4, "{} learners at one time", sent.len());
+}
