Second copies are spread over the write set where one mate is needed

Change: once all stores of the set have answered, the partition's own first candidate (by hash) takes the mate's place, only within 2 s of the opening and only if it stands where the partition stood, so that nothing is copied. Both are mates until it is level. Ruled out: waiting with the choice (each opening beside a lost store would wait), moving mates later (a whole copy over zones each time). Tests: spread_mates.rs; without the change all eight partitions have the same mate.

--- a/crates/waitlist/src/store/mates.rs
+++ b/crates/waitlist/src/store/mates.rs
@@ -12,6 +12,8 @@
 const SEAL_ASKED_AGAIN: Span = Span::secs(1);
 /// A peer of this zone that is no mate is drawn in once in so long.
 const NEAR_DRAWN_AGAIN: Span = Span::secs(4);
+/// After a partition was opened its second copy is moved only for so long.
+const SPREAD_WITHIN: Span = Span::secs(2);
 /// A partition that has too few copies for so long is told of.
 const SHORT_TOLD: Span = Span::secs(3);
 
@@ -127,6 +129,52 @@
             return self.match_mates(place, lost.as_ref(), now);
         }
         self.draw_near(place, now);
+        self.spread_mates(place, now);
+    }
+
+    /// Where one mate is needed it is the one that answered first when the
+    /// partition was sealed. Of all partitions that are opened at one time that
+    /// may be the same store, and its loss would stall all of them. So once all
+    /// stores of the set have answered, the partition's own first candidate
+    /// takes the place, if it stands where the partition stood when it was
+    /// sealed: then nothing has to be copied.
+    fn spread_mates(&mut self, place: &Place, now: Time) {
+        let zones: BTreeMap<Daemon, Zone> = self.link.members.values().map(|m| (m.id.clone(), m.zone.clone())).collect();
+        let Some(own) = self.parts.get(place).and_then(|p| p.own.as_ref()) else { return };
+        if own.phase != Phase::Serving || own.mates_needed() != 1 || own.spread == Spread::Done {
+            return;
+        }
+        let first = match own.spread {
+            Spread::Open => self.mate_candidates(place, &zones).into_iter().next(),
+            _ => None,
+        };
+        let Some(own) = self.parts.get_mut(place).and_then(|p| p.own.as_mut()) else { return };
+        match own.spread.clone() {
+            Spread::Open if now.since(own.opened) > SPREAD_WITHIN => own.spread = Spread::Done,
+            Spread::Open => {
+                if own.fences.len() + 1 < own.set.len() {
+                    return;
+                }
+                own.spread = Spread::Done;
+                let Some(first) = first.filter(|d| !own.mates.contains_key(d)) else { return };
+                let stands = own.fences.get(&first).filter(|fence| own.counts(&first, fence.mark));
+                if stands.is_some_and(|fence| own.was == Some((fence.installed, fence.n))) {
+                    own.mates.insert(first.clone(), now);
+                    own.spread = Spread::Drawn(first);
+                }
+            }
+            Spread::Drawn(first) if !own.mates.contains_key(&first) => own.spread = Spread::Done,
+            Spread::Drawn(first) => {
+                if own.is_level(&first) {
+                    own.mates.retain(|mate, _| *mate == first);
+                    own.spread = Spread::Done;
+                } else if now.since(own.opened) > SPREAD_WITHIN && own.mates.len() > 1 {
+                    own.mates.remove(&first);
+                    own.spread = Spread::Done;
+                }
+            }
+            Spread::Done => {}
+        }
     }
 
     /// Draws a peer of this zone in where all mates stand elsewhere, as may
--- /dev/null
+++ b/crates/waitlist/tests/spread_mates.rs
@@ -0,0 +1,168 @@
+//! Where one mate is needed, second copies are spread over the write set,
+//! whichever store answered first.
+mod settings;
+use dw_waitlist::prelude::*;
+use settings::*;
+use std::collections::VecDeque as Queue;
+
+const STEP: Span = Span::millis(20);
+const KEEPER: &str = "store-1";
+const FAST: &str = "store-2";
+const SLOW: &str = "store-3";
+const PARTITIONS: u32 = 8;
+const CHARTER: &str = r#"{"revision":1,"spool":8,"services":[{"name":"s"}],
+  "routes":[{"name":"r","host":"h","prefix":"/a/","service":"s","attempts":3,"attempt_ms":1000,"verdict_ms":80}]}"#;
+
+fn in_own_zone(name: &str) -> Member {
+    Member { disk: Mark(hash_of(name.as_bytes())), ..member(name, &name.replace("store", "zone")) }
+}
+
+/// Three stores; what one of them says comes a step later.
+struct Stores {
+    now: Time,
+    cores: BTreeMap<Daemon, Store>,
+    queue: Queue<(Daemon, Event)>,
+    late: Queue<(Daemon, Event)>,
+    epoch: u64,
+    /// Questions for whole copies.
+    copies: usize,
+}
+
+impl Stores {
+    fn new() -> Stores {
+        let mut stores = Stores {
+            now: Time::millis(1_000),
+            cores: BTreeMap::new(),
+            queue: Queue::new(),
+            late: Queue::new(),
+            epoch: 1,
+            copies: 0,
+        };
+        for name in [KEEPER, FAST, SLOW] {
+            let me = in_own_zone(name);
+            let mark = me.disk;
+            let settings = Startup { pull: Span::millis(300), seed: mark.0, ..startup(me) };
+            let (core, out) = Store::new(settings, &Vec::new(), mark, stores.now);
+            stores.cores.insert(daemon(name), core);
+            stores.obey(&daemon(name), out);
+        }
+        stores.run(3_000);
+        stores
+    }
+
+    fn obey(&mut self, id: &Daemon, out: Vec<Effect>) {
+        for effect in out {
+            match effect {
+                Effect::Say(_, Msg::Need { asked, .. }) => self.answer(id, asked),
+                Effect::Say(to, msg) if self.cores.contains_key(&to) => {
+                    self.copies += usize::from(matches!(msg, Msg::Fetch { .. }));
+                    let event = Event::Hear { from: id.clone(), msg };
+                    match id.as_str() == SLOW {
+                        true => self.late.push_back((to, event)),
+                        false => self.queue.push_back((to, event)),
+                    }
+                }
+                Effect::Save { n, .. } => self.queue.push_back((id.clone(), Event::Saved(n))),
+                _ => {}
+            }
+        }
+    }
+
+    /// Grants all partitions to the keeper.
+    fn answer(&mut self, to: &Daemon, asked: Time) {
+        let version = Version { term: Term(1), count: 1 };
+        let members: Vec<Member> = [KEEPER, FAST, SLOW].map(in_own_zone).to_vec();
+        let set: Vec<(Daemon, Mark)> = members.iter().map(|m| (m.id.clone(), m.disk)).collect();
+        let items = vec![(version, Item::Members(members)), (version, Item::Charter(CHARTER.to_string()))];
+        let grant = |part: u32| Grant {
+            duty: Duty::Keep(Rules::spool_place(part)),
+            epoch: Epoch { term: Term(1), count: self.epoch },
+            set: set.clone(),
+            swap: None,
+            swap_number: Version::ZERO,
+            shed: false,
+            slice: None,
+        };
+        let granted = if to.as_str() == KEEPER { PARTITIONS } else { 0 };
+        let grants = (0..granted).map(grant).collect();
+        let fresh = Some(Span::millis(2_500));
+        let msg = Msg::News { asked, term: Term(1), fresh, items, grants, late: Vec::new() };
+        self.queue.push_back((to.clone(), Event::Hear { from: daemon("placement-1"), msg }));
+    }
+
+    fn drain(&mut self) {
+        while let Some((id, event)) = self.queue.pop_front() {
+            let now = self.now;
+            let out = self.cores.get_mut(&id).map(|core| core.step(event, now)).unwrap_or_default();
+            self.obey(&id, out);
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end = self.now + Span::millis(ms);
+        while self.now < end {
+            self.now += STEP;
+            self.queue.append(&mut self.late);
+            for id in self.cores.keys().cloned().collect::<Vec<_>>() {
+                self.queue.push_back((id, Event::Clock));
+                self.drain();
+            }
+        }
+    }
+
+    fn keeps(&self) -> Vec<&Keep> {
+        self.cores[&daemon(KEEPER)].parts.values().filter_map(|part| part.own.as_ref()).collect()
+    }
+
+    /// How many partitions have their second copy at each store.
+    fn mates(&self) -> BTreeMap<String, usize> {
+        let mut mates = BTreeMap::new();
+        for keep in self.keeps() {
+            assert_eq!((keep.phase, keep.mates.len()), (Phase::Serving, 1), "{:?}", keep.mates);
+            for mate in keep.mates.keys() {
+                *mates.entry(mate.to_string()).or_default() += 1;
+            }
+        }
+        mates
+    }
+}
+
+#[test]
+fn second_copies_are_not_all_at_the_store_that_answered_first() {
+    let stores = Stores::new();
+    let mates = stores.mates();
+    assert_eq!(stores.keeps().len(), PARTITIONS as usize);
+    assert!(mates.values().all(|count| *count >= 2) && mates.len() == 2, "{mates:?}");
+    assert_eq!(stores.copies, 0, "all of them stood alike");
+}
+
+#[test]
+fn a_store_that_would_need_a_copy_is_not_drawn_in() {
+    let mut stores = Stores::new();
+    let before = stores.mates();
+    // Each partition goes on with its mate alone; then all are opened anew.
+    for part in 0..PARTITIONS {
+        let body = Bytes::from_static(b"body");
+        let id = MessageId(format!("m{part}"));
+        let head = Head { id, crc: crc32(&body), len: 4, ..Head::default() };
+        let msg = Msg::Carry {
+            ask: u64::from(part),
+            proxy: daemon("proxy-1"),
+            via: None,
+            again: false,
+            place: Rules::spool_place(part),
+            version: Version::ZERO,
+            head,
+            body,
+            stamp: None,
+            refuse: None,
+        };
+        stores.queue.push_back((daemon(KEEPER), Event::Hear { from: daemon("proxy-1"), msg }));
+    }
+    stores.run(1_000);
+    stores.epoch = 2;
+    stores.run(4_000);
+    let after = stores.mates();
+    assert_eq!(after.values().sum::<usize>(), PARTITIONS as usize);
+    assert_eq!(stores.copies, 0, "{before:?} to {after:?}");
+}
