Explorer: one-way cuts, and removed machines that return with their old disks

The model left both out (docs/control-state.md, 'Not held'). New steps: Mute (hears, is not heard), Deafen (the other way), Return (a removed machine with the disk it had); in the random histories, in the searches that have a budget for them, and in a search of their own. No invariant is broken by them. Planted: a machine that returns with an older disk (found: DiskLostCommitted), a lease renewed by answers of replicas that hear nothing (found: two leaders may act); without the latter a leader that is cut off or mute gives way. Left: bootstrapping and clock drift.

--- a/crates/election/tests/explorer/breakage.rs
+++ b/crates/election/tests/explorer/breakage.rs
@@ -26,6 +26,10 @@
     VotesThoughLeaderHeard,
     /// A replica that lost its disk starts again under its old mark.
     KeepsMarkWhenWiped,
+    /// A machine that was removed returns with an older state of its disk.
+    ReturnsWithOlderDisk,
+    /// What a replica can't hear is answered for it all the same.
+    AnswersForTheDeaf,
 }
 
 /// The state after a broken configuration change, if `state` ends with one.
--- a/crates/election/tests/explorer/ledger.rs
+++ b/crates/election/tests/explorer/ledger.rs
@@ -57,6 +57,12 @@
         Ledger { configuration, ..Ledger::default() }
     }
 
+    /// A data directory that was taken for lost is there again.
+    pub fn on_return(&mut self, mark: Mark) {
+        self.lost_marks.remove(&mark);
+        self.retired_marks.remove(&mark);
+    }
+
     pub fn last_committed(&self) -> u64 {
         self.committed.keys().next_back().copied().unwrap_or(0)
     }
--- a/crates/election/tests/explorer/world/faults.rs
+++ b/crates/election/tests/explorer/world/faults.rs
@@ -23,6 +23,35 @@
         Ok(())
     }
 
+    /// Its disk as it was before the last entry and the last vote.
+    pub(super) fn return_with_older_disk(&mut self, machine: Machine) -> Result<(), Violation> {
+        let mut state = self.nodes[&machine].disk.clone();
+        state.log.pop();
+        state.vote = None;
+        self.replace_state(machine, state)
+    }
+
+    /// A heartbeat that its receiver does not hear renews the leader's lease.
+    pub(super) fn answer_for_the_deaf(&mut self, from: Machine, to: Machine, message: &Message<u32>) {
+        let Message::Append(request) = message else { return };
+        let Some(receiver) = self.nodes.get(&to) else { return };
+        let arrives = receiver.hears && self.nodes.get(&from).is_none_or(|node| node.is_heard);
+        if arrives || self.breakage != Some(Breakage::AnswersForTheDeaf) {
+            return;
+        }
+        let outcome = AppendOutcome::Accepted { matched: request.previous_index };
+        let answer = Message::AppendResponse { term: request.term, outcome, mark: receiver.disk.mark, sent: request.sent };
+        let fingerprint = hash_of((to, from, hash_of_encoding(&answer)));
+        self.pending.push(Arc::new(Envelope { from: to, to: from, message: answer, fingerprint }));
+    }
+
+    /// These reach a leader that is cut off.
+    pub(super) fn is_answer_for_the_deaf(&self, envelope: &Envelope) -> bool {
+        let runs = self.nodes.get(&envelope.to).is_some_and(|node| node.replica.is_some());
+        let is_answer = matches!(envelope.message, Message::AppendResponse { .. });
+        runs && is_answer && self.breakage == Some(Breakage::AnswersForTheDeaf)
+    }
+
     pub(super) fn altered_at_delivery(&self, envelope: &Envelope) -> Message<u32> {
         let mut message = envelope.message.clone();
         if self.breakage != Some(Breakage::CountsAnyMark) {
