A mate without its disk gives way at once, and is drawn in again once it counts

And a near mate whose folder changed was never drawn in again under that epoch: its fence still named the old one. Change: what a store of the set last said of its folder decides; a mate whose folder does not count gives way where another store may take its place (in another zone if no other mate is). Ruled out: counting the new folder before placement does (an empty folder would stand for a copy).

--- a/crates/waitlist/src/store/mates.rs
+++ b/crates/waitlist/src/store/mates.rs
@@ -74,7 +74,11 @@
         // Fenced ones have shown they are there; one whose folder was lost
         // does not count until its new one is known to all. Of those alike the
         // ones of this zone first: each op then leaves it as seldom as may be.
-        let fitness = |d: &Daemon| own.fences.get(d).map_or(1, |f| if own.counts(d, f.mark) { 0 } else { 2 });
+        let fitness = |d: &Daemon| match own.folder_of(d) {
+            None => 1,
+            Some(mark) if own.counts(d, mark) => 0,
+            Some(_) => 2,
+        };
         let is_far = |d: &Daemon| zones.get(d).is_none_or(|z| *z != me.zone);
         all.sort_by_key(|d| (fitness(d), is_far(d)));
         all
@@ -195,7 +199,7 @@
         if own.mates.keys().any(near) || now.since(own.near_drawn) < NEAR_DRAWN_AGAIN {
             return;
         }
-        let counts = |d: &Daemon| own.fences.get(d).is_some_and(|fence| own.counts(d, fence.mark));
+        let counts = |d: &Daemon| own.folder_of(d).is_some_and(|mark| own.counts(d, mark));
         let Some(next) = candidates.into_iter().find(|d| near(d) && counts(d)) else { return };
         own.near_drawn = now;
         own.mates.insert(next, now);
@@ -203,22 +207,26 @@
     }
 
     /// The mates that need a whole copy, and one that has to give way: it lags
-    /// and has not moved for a while, or it leaves.
+    /// and has not moved for a while, it leaves, or it came back without its
+    /// disk, so that nothing it holds counts until its new folder is seated.
     fn tend_mates(&mut self, place: &Place, now: Time) -> (Vec<Daemon>, Option<Daemon>) {
         let longest = self.startup.terms.length.percent(QUIET);
         let still = self.standstill.is_catching_up(now);
+        let (members, here) = (&self.link.members, &self.startup.me.zone);
+        let is_far = |d: &Daemon| members.get(d).is_some_and(|member| member.zone != *here);
         let (mut to_copy, mut lost) = (Vec::new(), None);
         let Some(p) = self.parts.get_mut(place) else { return (to_copy, lost) };
         let Some(own) = p.own.as_mut() else { return (to_copy, lost) };
         let top = p.n;
         let patience = Patience { least: own.patience_least.now(now), longest };
         for (mate, since) in own.mates.clone() {
+            let is_empty = own.has_lost_its_disk(&mate) && own.has_other_mate(&mate, &self.startup.me.id, is_far);
             let peer = own.peers.entry(mate.clone()).or_default();
             let behind = peer.note_behind(top, now);
             let quiet = !still && peer.is_silent(since, patience, now);
             let leaves = own.swap.as_ref().is_some_and(|s| s.0 == mate);
-            if (behind && quiet) || leaves {
-                if lost.is_none() && !leaves {
+            if (behind && quiet) || leaves || is_empty {
+                if lost.is_none() && !leaves && !is_empty {
                     own.patience_least.note_given_way(longest, now);
                 }
                 lost.get_or_insert(mate);
--- a/crates/waitlist/tests/loaded/mod.rs
+++ b/crates/waitlist/tests/loaded/mod.rs
@@ -21,6 +21,11 @@
     Place { tenant: "~".into(), waitlist: "spool".into(), part: 0 }
 }
 
+/// The name of the message that is handed in under this number.
+fn name_of(number: u64) -> MessageId {
+    MessageId(format!("0-{:016x}", hash_of(&number.to_le_bytes())))
+}
+
 pub struct Loaded {
     /// Where store 1, 2 and so on stand.
     zones: Vec<String>,
@@ -42,6 +47,8 @@
     /// In how many steps one comes in and one ends.
     pace: u64,
     notes: Vec<Note>,
+    /// Messages whose callers were told that they were accepted.
+    accepted: Vec<MessageId>,
     report: Report,
     /// The largest message between two stores, in bytes.
     pub largest: usize,
@@ -75,6 +82,7 @@
             busy: false,
             pace: 1,
             notes: Vec::new(),
+            accepted: Vec::new(),
             report: Report::default(),
             largest: 0,
             sent_to_replica: 0,
@@ -133,6 +141,43 @@
     }
 
     /// A store is no longer reached by the others.
+    /// The fewest stores that hold a message that was accepted, and the fewest
+    /// zones in which they stand.
+    pub fn fewest_holders(&self) -> (usize, usize) {
+        let holds = |id: &MessageId, core: &Store| core.parts.get(&place()).is_some_and(|part| part.recs.contains_key(id));
+        let holders = |id: &MessageId| -> Vec<String> {
+            let all = self.cores.iter().filter(|(_, core)| holds(id, core));
+            all.map(|(store, _)| self.zone_of(store.as_str())).collect()
+        };
+        let counts = self.accepted.iter().map(|id| {
+            let zones = holders(id);
+            (zones.len(), zones.iter().collect::<BTreeSet<_>>().len())
+        });
+        counts.fold((usize::MAX, usize::MAX), |least, now| (least.0.min(now.0), least.1.min(now.1)))
+    }
+
+    /// How many messages were accepted.
+    pub fn accepted(&self) -> usize {
+        self.accepted.len()
+    }
+
+    /// A store's disk is lost; it starts again at once, with an empty one.
+    pub fn wipe(&mut self, store: &Daemon, mark: Mark) {
+        self.queue.retain(|(to, _)| to != store);
+        self.start_empty(store.as_str(), mark);
+    }
+
+    /// Placement names the folder that a store has now.
+    pub fn seat(&mut self, store: &Daemon) {
+        let mark = self.cores[store].mark;
+        let seat = self.set.iter_mut().find(|seat| seat.0 == *store).expect("a seat");
+        seat.1 = mark;
+    }
+
+    pub fn mend(&mut self, store: &Daemon) {
+        self.cut.remove(store);
+    }
+
     pub fn cut(&mut self, store: &Daemon) {
         self.cut.insert(store.clone());
     }
@@ -244,6 +289,7 @@
                 Effect::Save { n, .. } => self.queue.push_back((id.clone(), Event::Saved(n))),
                 Effect::Say(_, Msg::Need { asked, report, .. }) => self.answer(id, asked, report),
                 Effect::Say(_, Msg::Offers { all, .. }) => self.under_way.extend(all),
+                Effect::Say(_, Msg::Carried { ask, word: Carried::Accepted { .. }, .. }) => self.accepted.push(name_of(ask)),
                 Effect::Say(to, _) if self.cut.contains(id) || self.cut.contains(&to) => {}
                 Effect::Say(to, msg) if self.cores.contains_key(&to) => self.carry(id, to, msg),
                 _ => {}
@@ -293,10 +339,9 @@
     fn hand_in(&mut self) {
         self.handed_in += 1;
         let number = self.handed_in;
-        let name = format!("0-{:016x}", hash_of(&number.to_le_bytes()));
         let body = Bytes::from(vec![number as u8; BODY]);
         let head = Head {
-            id: MessageId(name),
+            id: name_of(number),
             crc: crc32(&body),
             len: BODY as u32,
             route: "bulk".into(),
