--- a/crates/checker/src/routed.rs
+++ b/crates/checker/src/routed.rs
@@ -5,6 +5,7 @@
 mod allowed;
 mod answered;
 mod backs;
+mod budget;
 mod charters;
 mod cold;
 mod drained;
@@ -71,12 +72,13 @@
 
 /// Every rule's name and its watch.
 type Watch = fn(&Seen, &RoutedLimits, Time) -> Vec<String>;
-const WATCHES: [(&str, Watch); 15] = [
+const WATCHES: [(&str, Watch); 16] = [
     ("refused", refused::watch),
     ("sent", sent::watch),
     ("allowed", allowed::watch),
     ("order", order::watch),
     ("twice", twice::watch),
+    ("budget", budget::watch),
     ("finished", finished::watch),
     ("told", told::watch),
     ("backs", backs::watch),
--- a/crates/sim/tests/routed.rs
+++ b/crates/sim/tests/routed.rs
@@ -131,6 +131,24 @@
     caught("run 8s", b, "twice", "had said done");
 }
 
+#[test]
+fn failures_that_are_not_counted_are_caught() {
+    let b: Breakage = |e, _| {
+        if let Effect::Say(_, Msg::Settled { all }) = e {
+            all.iter_mut().filter(|s| s.told == Told::Failed).for_each(|s| s.told = Told::Unstarted);
+        }
+        false
+    };
+    caught("run 20s", b, "budget", "failures and");
+    let never: Breakage = |e, _| {
+        if let Effect::Say(_, Msg::Settled { all }) = e {
+            all.iter_mut().filter(|s| s.told == Told::Never).for_each(|s| s.told = Told::Unstarted);
+        }
+        false
+    };
+    caught("run 20s; at 1s poison 10", never, "budget", "refusals for good");
+}
+
 #[test]
 fn a_disk_that_does_not_keep_is_caught() {
     let b: Breakage = |e, _| {
