--- a/crates/ingest/tests/posts.rs
+++ b/crates/ingest/tests/posts.rs
@@ -1,29 +1,15 @@
 //! What a proxy may tell of a routed message, by what its copies came to.
+mod settings;
 use dw_ingest::prelude::*;
+use settings::*;
 
 const CHARTER: &str = r#"{"revision":1,"spool":2,
   "services":[{"name":"s"}],
   "routes":[{"name":"r","host":"h","prefix":"/a/","service":"s","attempts":3,"attempt_ms":1000,"verdict_ms":80},
             {"name":"o","host":"h","prefix":"/o/","service":"s","ordered":true,"attempts":3,"attempt_ms":1000,"verdict_ms":80}]}"#;
 
-fn member(id: &str, zone: &str) -> Member {
-    let (id, zone) = (Daemon(id.into()), Zone(zone.into()));
-    Member { id, zone, addr: "10.0.0.1:1".into(), http: String::new(), life: Mark(7), disk: Mark(0), machine: String::new() }
-}
-
 fn proxy(now: Time) -> Proxy {
-    let startup = Startup {
-        me: member("proxy-1", "z1"),
-        agent: Daemon("agent-1".into()),
-        pull: Span::millis(400),
-        terms: Terms::default(),
-        seats: 64,
-        second: Span::millis(400),
-        limit: Span::secs(2),
-        wall: 1,
-        now,
-    };
-    let mut p = Proxy::new(startup);
+    let mut p = Proxy::new(startup(now));
     let v = Version { term: Term(1), count: 1 };
     let placing = |d: &str| Placing { keeper: Daemon(d.into()), epoch: v };
     let places = vec![(Rules::spool_place(0), placing("store-1")), (Rules::spool_place(1), placing("store-2"))];
--- a/crates/ingest/tests/relay.rs
+++ b/crates/ingest/tests/relay.rs
@@ -1,32 +1,17 @@
 //! Around a cut between two zones a proxy asks a store of the third zone.
+mod settings;
 use dw_ingest::prelude::*;
+use settings::*;
 
 const CHARTER: &str = r#"{
   "templates":[{"name":"house","waitlists":[{"name":"w","partitions":1,"service":"s","attempts":3,"attempt_ms":1000}]}],
   "tenants":[{"name":"t","template":"house","share":100}],
   "services":[{"name":"s"}]}"#;
-const SECOND: Span = Span::millis(400);
-
-fn member(id: &str, zone: &str) -> Member {
-    let (id, zone) = (Daemon(id.into()), Zone(zone.into()));
-    Member { id, zone, addr: "10.0.0.1:1".into(), http: String::new(), life: Mark(7), disk: Mark(0), machine: String::new() }
-}
 
 /// A proxy of `z1`, with one partition kept by a store of `z2`. By name, the
 /// stores of its own zone and of the keeper's come before those of `z3`.
 fn proxy(now: Time) -> Proxy {
-    let startup = Startup {
-        me: member("proxy-1", "z1"),
-        agent: Daemon("agent-1".into()),
-        pull: Span::millis(400),
-        terms: Terms::default(),
-        seats: 64,
-        second: SECOND,
-        limit: Span::secs(4),
-        wall: 1,
-        now,
-    };
-    let mut proxy = Proxy::new(startup);
+    let mut proxy = Proxy::new(Startup { limit: Span::secs(4), ..startup(now) });
     let version = Version { term: Term(1), count: 1 };
     let stores =
         [("store-1", "z1"), ("store-2", "z2"), ("store-3", "z1"), ("store-4", "z2"), ("store-5", "z3"), ("store-6", "z3")];
