review: case 2, due messages with large bodies are never delivered (LOST)

After the loss of one storage machine, messages that came due meanwhile are offered in one frame over the largest size. The frame is dropped, and the same again with each try.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if LOST was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without
+# the loss of the machine.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/release/review-stand big-bodies review/2
