Waiting messages stay with their route when its name is given to another

Cause: a stored message kept only the name of its route, and the store, the delivery and the check at acceptance looked that name up in the configuration in force.

Change: a message keeps the pattern of its route (host and path prefix), and CompiledRoutes::route_of finds the route with that pattern in any later configuration. Messages without a pattern, of the build before, are matched anew. This works as the pattern is what the route was chosen by, and no two routes have the same.

Same cause, related paths: a message whose route was only renamed ended as a dead letter; ordering keys held the route's name, so that a key had two queues after a rename (placement now assigns an order scope that a route keeps); the next message of a key was put into the queue of the one before it.

finish_work returns the next of a key instead of queueing it: the tests that called it assert the returned one and queue it. Fixtures of routed messages in the stores' tests get a request that their route matches; they had none.

--- a/crates/config/src/routes.rs
+++ b/crates/config/src/routes.rs
@@ -1,4 +1,5 @@
 //! Compiled routes: how a request is matched to a route, and how its message is handled.
+use crate::order_scope::order_scope;
 use crate::prelude::*;
 
 /// Tenant and name of the spool, the queue that stores routed messages. No tenant of
@@ -9,6 +10,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct CompiledRoute {
     pub name: String,
+    /// The requests that it matches: host and path prefix. No two routes of a
+    /// configuration have the same, and a route keeps it when operators rename it.
+    pub pattern: String,
+    /// Sets its ordering keys apart from those of other routes. A route keeps it when
+    /// operators rename it or change its pattern.
+    pub order_scope: String,
     pub service: String,
     pub ordered: bool,
     pub max_attempts: u32,
@@ -24,13 +31,23 @@
     pub target_start: Span,
 }
 
+/// What an accepted message records of its request and the route that it matched.
+#[derive(Clone, Copy, Debug)]
+pub struct RoutedMessage<'a> {
+    /// Pattern of the route; empty from a version that did not record it.
+    pub pattern: &'a str,
+    pub route_name: &'a str,
+    pub host: &'a str,
+    pub path: &'a str,
+}
+
 /// All routes of a configuration. Invariant: the prefixes of one host are sorted by
 /// length, longest first, so the first prefix that matches is the longest match.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CompiledRoutes {
-    /// For each host its pairs of path prefix and route name.
+    /// For each host its pairs of path prefix and route pattern.
     prefixes_by_host: BTreeMap<String, Vec<(String, String)>>,
-    by_name: BTreeMap<String, CompiledRoute>,
+    by_pattern: BTreeMap<String, CompiledRoute>,
 }
 
 impl CompiledRoutes {
@@ -39,6 +56,8 @@
         for r in routes {
             let compiled = CompiledRoute {
                 name: r.name.clone(),
+                pattern: route_pattern(&r.host, &r.prefix),
+                order_scope: order_scope(r).to_string(),
                 service: r.service.clone(),
                 ordered: r.ordered,
                 max_attempts: r.max_attempts.max(1),
@@ -49,8 +68,8 @@
                 target_latency: Span::millis(r.target_latency_ms),
                 target_start: Span::millis(r.target_start_ms),
             };
-            out.prefixes_by_host.entry(normalize_host(&r.host)).or_default().push((r.prefix.clone(), r.name.clone()));
-            out.by_name.insert(r.name.clone(), compiled);
+            out.prefixes_by_host.entry(normalize_host(&r.host)).or_default().push((r.prefix.clone(), compiled.pattern.clone()));
+            out.by_pattern.insert(compiled.pattern.clone(), compiled);
         }
         for prefixes in out.prefixes_by_host.values_mut() {
             prefixes.sort_by(|a, b| (b.0.len(), &a.0).cmp(&(a.0.len(), &b.0)));
@@ -60,20 +79,41 @@
     /// Finds the route for a request by its host and the longest matching path prefix.
     pub fn find_match(&self, host: &str, path: &str) -> Option<&CompiledRoute> {
         let prefixes = self.prefixes_by_host.get(&normalize_host(host))?;
-        let (_, name) = prefixes.iter().find(|(p, _)| path.starts_with(p.as_str()))?;
-        self.by_name.get(name)
+        let (_, pattern) = prefixes.iter().find(|(p, _)| path.starts_with(p.as_str()))?;
+        self.by_pattern.get(pattern)
+    }
+    /// The route with this pattern.
+    pub fn get(&self, pattern: &str) -> Option<&CompiledRoute> {
+        self.by_pattern.get(pattern)
     }
-    pub fn get(&self, name: &str) -> Option<&CompiledRoute> {
-        self.by_name.get(name)
+    /// The route in force to which an accepted message belongs; `None` if the
+    /// configuration has dropped it.
+    ///
+    /// That is the route with the pattern under which the message was accepted, whatever
+    /// its name is now: operators may give a name to another route. If there is none,
+    /// it is the route of the message's route name, as long as that is the one which
+    /// requests like the message's match now. A message of a version that recorded no
+    /// pattern is matched anew.
+    pub fn route_of(&self, message: &RoutedMessage) -> Option<&CompiledRoute> {
+        if let Some(route) = self.by_pattern.get(message.pattern) {
+            return Some(route);
+        }
+        let matched = self.find_match(message.host, message.path)?;
+        (message.pattern.is_empty() || matched.name == message.route_name).then_some(matched)
     }
     pub fn is_empty(&self) -> bool {
-        self.by_name.is_empty()
+        self.by_pattern.is_empty()
     }
     pub fn iter(&self) -> impl Iterator<Item = &CompiledRoute> {
-        self.by_name.values()
+        self.by_pattern.values()
     }
 }
 
+/// What a route matches, as one text. Prefixes begin with '/', and hosts have none.
+pub fn route_pattern(host: &str, prefix: &str) -> String {
+    format!("{}{prefix}", normalize_host(host))
+}
+
 /// Returns the host name without its port, in lower case.
 pub fn normalize_host(host: &str) -> String {
     host.rsplit_once(':').filter(|(_, p)| p.bytes().all(|b| b.is_ascii_digit())).map_or(host, |x| x.0).to_ascii_lowercase()
--- a/crates/delivery/src/run/routed.rs
+++ b/crates/delivery/src/run/routed.rs
@@ -68,7 +68,7 @@
     /// The timeout of one attempt of a routed message; zero if its route is not in force.
     fn routed_timeout(&self, o: &Offer) -> Span {
         let by_config = match o.stage {
-            Stage::Pending => self.link.rules.routes.get(&o.header.route).map_or(Span::ZERO, |r| r.attempt_timeout),
+            Stage::Pending => message_route(&self.link.rules.routes, &o.header).map_or(Span::ZERO, |r| r.attempt_timeout),
             _ => CALLBACK_TIMEOUT,
         };
         o.attempt_timeout(by_config)
--- a/crates/delivery/tests/harness/mod.rs
+++ b/crates/delivery/tests/harness/mod.rs
@@ -179,6 +179,7 @@
             crc: crc32(&body),
             len: body.len() as u32,
             route: route.into(),
+            route_pattern: if route == "bulk" { "h/".into() } else { format!("other/{route}/") },
             caller_request: Some(Box::default()),
             ..MessageHeader::default()
         };
--- a/crates/disk/tests/power_loss/store.rs
+++ b/crates/disk/tests/power_loss/store.rs
@@ -53,6 +53,7 @@
         callback: String::new(),
         ttl: None,
         route: String::new(),
+        route_pattern: String::new(),
         caller_request: None,
         accepted_unix_micros: 0,
         delay: Span::ZERO,
--- a/crates/ingest/src/proxy/routed.rs
+++ b/crates/ingest/src/proxy/routed.rs
@@ -64,7 +64,7 @@
             self.counts.rejected += 1;
             return self.respond(request, unavailable("this proxy can't confirm the charter in force"));
         }
-        let path = caller_request.path.split('?').next().unwrap_or_default();
+        let path = caller_request.path_without_query();
         let Some(route) = self.link.rules.routes.find_match(&caller_request.host, path).cloned() else {
             self.counts.rejected += 1;
             return self.respond(request, responses::rejected(404, "no route matches this host and path", None));
@@ -85,7 +85,7 @@
             return self.respond(request, unavailable("too much is under way here"));
         }
         let key = match route.ordered {
-            true => format!("{}\u{1f}{}", route.name, caller_request.key),
+            true => format!("{}\u{1f}{}", route.order_scope, caller_request.key),
             false => String::new(),
         };
         let spool = self.link.rules.spool_partitions.max(1);
@@ -108,6 +108,7 @@
             len: body.len() as u32,
             callback: if route.allows_callback { callback } else { String::new() },
             route: route.name.clone(),
+            route_pattern: route.pattern.clone(),
             caller_request: Some(caller_request),
             accepted_unix_micros: self.unix_micros(now),
             delay,
--- a/crates/placement/src/primary/numbered_config.rs
+++ b/crates/placement/src/primary/numbered_config.rs
@@ -72,10 +72,11 @@
 
     /// Whether a complete configuration is the one in force.
     fn is_in_force(&self, json: &str, now: Time) -> bool {
-        let Ok(mut config) = dw_config::check::read(json) else { return false };
+        let (Ok(mut config), Ok(current)) = (dw_config::check::read(json), self.current_config()) else { return false };
         if self.assign_spool_partitions(&mut config, now).is_err() {
             return false;
         }
+        assign_order_scopes(&current, &mut config);
         canonical_json(&config).is_ok_and(|text| text == self.committed.config)
     }
 
@@ -89,12 +90,14 @@
 
     /// The canonical form of a numbered configuration that may follow the one in force.
     fn canonical_revision(&self, json: &str, is_patch: bool, now: Time) -> Result<String, ConfigRejection> {
+        let current = self.current_config().map_err(ConfigRejection::Invalid)?;
         let read = match is_patch {
             false => dw_config::check::read(json),
-            true => self.current_config().and_then(|c| patch(&c, json)),
+            true => patch(&current, json),
         };
         let mut c = read.map_err(ConfigRejection::Invalid)?;
         self.assign_spool_partitions(&mut c, now)?;
+        assign_order_scopes(&current, &mut c);
         self.validate_config(&c, true).map_err(ConfigRejection::Invalid)?;
         canonical_json(&c).map_err(ConfigRejection::Invalid)
     }
--- a/crates/queue/src/dispatch_queues.rs
+++ b/crates/queue/src/dispatch_queues.rs
@@ -23,15 +23,14 @@
 /// Invariants: a sequence number is in at most one of `unrouted`, `routed`,
 /// `callbacks` and `in_flight`; with ordering, only the first of a key is in
 /// `unrouted`, `routed` or, for its work, in `in_flight`, and the next is added when
-/// the end of the first is durable; a key belongs to one route, so the next of a key
-/// is added to the same queue as the first.
+/// the end of the first is durable.
 #[derive(Default)]
 pub struct DispatchQueues {
     /// Whether messages of one ordering key are dispatched one after the other.
     pub ordered: bool,
     /// Messages of a queue, by the time before which they are not dispatched.
     pub unrouted: BTreeSet<(Time, u64)>,
-    /// Routed messages, by route.
+    /// Routed messages, by `MessageHeader::route_queue`.
     pub routed: BTreeMap<String, RouteQueue>,
     /// When each routed message became eligible: it was accepted, and its delay was
     /// over. None is dispatched sooner, whatever adds it to a queue.
@@ -61,7 +60,7 @@
     /// Updates the backlog of a key in the queue entry of its first message.
     fn update_key_backlog(&mut self, header: &MessageHeader) {
         let Some(key) = self.pending_by_key.get(&header.key) else { return };
-        let (Some(first), Some(queue)) = (key.first(), self.routed.get_mut(&header.route)) else { return };
+        let (Some(first), Some(queue)) = (key.first(), self.routed.get_mut(header.route_queue())) else { return };
         queue.set_key_backlog(*first, key.len());
     }
     /// Adds a record to the queue that fits its stage, to be dispatched at `not_before`.
@@ -80,7 +79,7 @@
                         return self.update_key_backlog(header);
                     }
                 }
-                self.enqueue_routed(&header.route, &header.key, not_before, header.seq);
+                self.enqueue_routed(header.route_queue(), &header.key, not_before, header.seq);
             }
             Stage::Pending if self.ordered => {
                 let key = self.pending_by_key.entry(header.key.clone()).or_default();
@@ -97,7 +96,7 @@
     }
     /// Removes a record from every queue that it may wait in.
     pub fn dequeue(&mut self, header: &MessageHeader) {
-        match self.routed.get_mut(&header.route) {
+        match self.routed.get_mut(header.route_queue()) {
             Some(queue) => _ = queue.remove(header.seq),
             None => self.unrouted.retain(|(_, seq)| *seq != header.seq),
         }
@@ -105,40 +104,39 @@
             callbacks.retain(|(_, seq)| *seq != header.seq);
         }
     }
-    /// The end of the work on a record is durable: the next of its key is added to its
-    /// queue. A second call, as when its call-back has ended too, adds nothing: the
-    /// next may have ended meanwhile, and may be in no queue for just that reason.
-    pub fn finish_work(&mut self, header: &MessageHeader, now: Time) {
+    /// The end of the work on a record is durable. Returns the next of its key, which
+    /// goes on with `enqueue_next`. A second call, as when its call-back has ended too,
+    /// returns nothing: the next may have ended meanwhile, and may be in no queue for
+    /// just that reason.
+    pub fn finish_work(&mut self, header: &MessageHeader) -> Option<u64> {
         self.in_flight.remove(&header.seq);
         self.eligible_at.remove(&header.seq);
-        match self.routed.get_mut(&header.route) {
+        match self.routed.get_mut(header.route_queue()) {
             Some(queue) => _ = queue.remove(header.seq),
             None if header.route.is_empty() => self.unrouted.retain(|(_, s)| *s != header.seq),
             None => {}
         }
         if !self.ordered || header.key.is_empty() {
-            return;
+            return None;
         }
-        let Some(key) = self.pending_by_key.get_mut(&header.key) else { return };
+        let key = self.pending_by_key.get_mut(&header.key)?;
         if !key.remove(&header.seq) {
-            return;
+            return None;
         }
-        match key.first() {
-            Some(next) => {
-                let next = *next;
-                if self.in_flight.contains_key(&next) {
-                    return;
-                }
-                match header.route.is_empty() {
-                    true => _ = self.unrouted.insert((now, next)),
-                    // It may be in the queue already, held back after a failover.
-                    false if self.routed.get(&header.route).is_some_and(|d| d.not_before(next).is_some()) => {}
-                    false => self.enqueue_routed(&header.route, &header.key, now, next),
-                }
-            }
-            None => {
-                self.pending_by_key.remove(&header.key);
-            }
+        let next = key.first().copied();
+        if next.is_none() {
+            self.pending_by_key.remove(&header.key);
+        }
+        next.filter(|next| !self.in_flight.contains_key(next))
+    }
+    /// Adds a message to its queue after the work on the one before it in its key has
+    /// finished.
+    pub fn enqueue_next(&mut self, header: &MessageHeader, now: Time) {
+        match header.route.is_empty() {
+            true => _ = self.unrouted.insert((now, header.seq)),
+            // It may be in the queue already, held back after a failover.
+            false if self.routed.get(header.route_queue()).is_some_and(|queue| queue.not_before(header.seq).is_some()) => {}
+            false => self.enqueue_routed(header.route_queue(), &header.key, now, header.seq),
         }
     }
     /// Whether a routed message whose work is not over waits in a queue, is in flight
@@ -146,7 +144,7 @@
     pub fn is_tracked(&self, header: &MessageHeader) -> bool {
         let behind_another =
             || self.pending_by_key.get(&header.key).is_some_and(|k| k.contains(&header.seq) && k.first() != Some(&header.seq));
-        let is_waiting = || self.routed.get(&header.route).is_some_and(|queue| queue.not_before(header.seq).is_some());
+        let is_waiting = || self.routed.get(header.route_queue()).is_some_and(|queue| queue.not_before(header.seq).is_some());
         self.in_flight.contains_key(&header.seq) || is_waiting() || (!header.key.is_empty() && behind_another())
     }
     /// Whether a message is still held back after a failover, because an attempt of an
--- a/crates/queue/src/store/attempt_ends.rs
+++ b/crates/queue/src/store/attempt_ends.rs
@@ -52,7 +52,7 @@
         let Some(part) = self.partitions.get_mut(partition) else { return };
         let (Some(lead), Some(record)) = (part.leader_state.as_mut(), part.records.get(id)) else { return };
         lead.queues.ids.insert(record.header.seq, id.clone());
-        lead.queues.enqueue_routed(&record.header.route, &record.header.key, lead.hold_until.max(now), record.header.seq);
+        lead.queues.enqueue_routed(record.header.route_queue(), &record.header.key, lead.hold_until.max(now), record.header.seq);
         self.counts.stranded_requeued += 1;
         self.log(LogEvent::StrandedMessageRequeued, format!("{partition} {id}"));
     }
--- a/crates/queue/src/store/posts.rs
+++ b/crates/queue/src/store/posts.rs
@@ -56,8 +56,8 @@
     priority: u32,
     oldest_due: Time,
     partition: PartitionId,
-    /// The route, or the call-back address.
-    route_or_address: String,
+    /// The pattern of the route, or the call-back address.
+    pattern_or_address: String,
 }
 
 impl Store {
@@ -191,14 +191,14 @@
             {
                 continue;
             }
-            for (route_name, due) in &lead.queues.routed {
+            for (pattern, due) in &lead.queues.routed {
                 let Some(first) = due.oldest_ready(now) else { continue };
-                let Some(route) = self.link.rules.routes.get(route_name) else { continue };
+                let Some(route) = self.link.rules.routes.get(pattern) else { continue };
                 let queue = ReadyQueue {
                     priority: route.priority,
                     oldest_due: first,
                     partition: partition.clone(),
-                    route_or_address: route_name.clone(),
+                    pattern_or_address: pattern.clone(),
                 };
                 destinations.entry(Destination::Service(route.service.clone())).or_default().push(queue);
             }
@@ -208,7 +208,7 @@
                     priority: 0,
                     oldest_due: *first,
                     partition: partition.clone(),
-                    route_or_address: callback.clone(),
+                    pattern_or_address: callback.clone(),
                 };
                 destinations.entry(Destination::Address(callback.clone())).or_default().push(queue);
             }
@@ -217,7 +217,9 @@
         for (destination, mut queues) in destinations {
             queues.sort_by_key(|l| std::cmp::Reverse((l.priority, l.oldest_due)));
             while let Some(queue) = queues.pop() {
-                let Some((to, requested_at, incarnation)) = self.choose_delivery(&destination, &in_flight, now) else { break };
+                let Some((to, requested_at, incarnation)) = self.choose_delivery(&destination, &in_flight, now) else {
+                    break;
+                };
                 let Some(offer) = self.take_routed(&queue, &destination, &to, incarnation, now) else { continue };
                 *in_flight.entry((destination.clone(), to.clone())).or_default() += 1;
                 self.counts.attempts_offered += 1;
@@ -267,14 +269,17 @@
         now: Time,
     ) -> Option<Offer> {
         let is_callback = matches!(destination, Destination::Address(_));
+        let route = self.link.rules.routes.get(&queue.pattern_or_address);
         let attempt = match is_callback {
             true => CALLBACK_TIMEOUT,
-            false => self.link.rules.routes.get(&queue.route_or_address)?.attempt_timeout,
+            false => route?.attempt_timeout,
         };
-        let max_age = self.link.rules.routes.get(&queue.route_or_address).map(|x| x.ttl);
+        let max_age = route.map(|x| x.ttl);
+        // The name that the route has now.
+        let route_name = route.map(|x| x.name.clone());
         // Messages that can still start within the target time go before those that are
         // late already, but every fourth dispatch takes the oldest message.
-        let start_target = self.link.rules.routes.get(&queue.route_or_address).map_or(Span::ZERO, |x| x.target_start);
+        let start_target = route.map_or(Span::ZERO, |x| x.target_start);
         let oldest_first = start_target == Span::ZERO || self.counts.attempts_offered.is_multiple_of(4);
         let on_time_since = Time(now.0.saturating_sub(start_target.0));
         let partition = &queue.partition;
@@ -283,8 +288,8 @@
             let part = self.partitions.get_mut(partition)?;
             let lead = part.leader_state.as_mut()?;
             let (due, seq) = match is_callback {
-                true => lead.queues.pop_due(Some(&queue.route_or_address), now)?,
-                false => match (lead.queues.routed.get_mut(&queue.route_or_address)?, oldest_first) {
+                true => lead.queues.pop_due(Some(&queue.pattern_or_address), now)?,
+                false => match (lead.queues.routed.get_mut(&queue.pattern_or_address)?, oldest_first) {
                     (due, true) => due.pop_oldest(now)?,
                     (due, false) => due.pop_in_time(on_time_since, now)?,
                 },
@@ -304,13 +309,13 @@
                 self.set_stage(partition, &id, next, None, now);
                 continue;
             }
-            let (header, body) = match self.header_and_body(partition, &id, is_callback) {
+            let (mut header, body) = match self.header_and_body(partition, &id, is_callback) {
                 Ok(x) => x,
                 Err(is_corrupt) => {
                     let part = self.partitions.get_mut(partition)?;
                     let key = part.records.get(&id).map(|record| record.header.key.clone()).unwrap_or_default();
                     part.leader_state.as_mut()?.queues.enqueue_routed(
-                        &queue.route_or_address,
+                        &queue.pattern_or_address,
                         &key,
                         now + BODY_READ_RETRY_DELAY,
                         seq,
@@ -320,13 +325,16 @@
                         continue;
                     }
                     reads += 1;
-                    let waiter = BodyWaiter::RoutedDispatch { route: queue.route_or_address.clone(), due, seq };
+                    let waiter = BodyWaiter::RoutedDispatch { route: queue.pattern_or_address.clone(), due, seq };
                     if !self.read_body_for(partition, &id, waiter) || reads >= MAX_BODY_READS_PER_QUEUE {
                         return None;
                     }
                     continue;
                 }
             };
+            if let Some(route) = route_name.as_ref().filter(|_| !is_callback) {
+                header.route.clone_from(route);
+            }
             let part = self.partitions.get_mut(partition)?;
             let stage = part.records.get(&id)?.stage;
             let lead = part.leader_state.as_mut()?;
@@ -409,7 +417,7 @@
         let backoff = |base: Span, n: u32, cap: Span| Span((base.0 << n.min(12)).min(cap.0)).percent(jitter);
         match record.stage {
             Stage::Pending => {
-                let Some(route) = self.link.rules.routes.get(&record.header.route) else {
+                let Some(route) = message_route(&self.link.rules.routes, &record.header) else {
                     let next = stage_after_work(record, Outcome::Expired);
                     return self.set_stage(partition, id, next, None, now);
                 };
@@ -432,7 +440,7 @@
                         delay
                     }
                 };
-                lead.queues.enqueue_routed(&record.header.route, &record.header.key, now + delay, seq);
+                lead.queues.enqueue_routed(record.header.route_queue(), &record.header.key, now + delay, seq);
             }
             Stage::EndedAwaitingCallback(_) => {
                 let delay = match outcome {
@@ -445,35 +453,4 @@
             Stage::SucceededAwaitingCallback | Stage::Ended(_) => {}
         }
     }
-
-    /// Expires messages whose route was removed from the configuration or that have
-    /// outlived the route's limit. Those in flight end with their attempt.
-    pub(super) fn expire_routed(&mut self, now: Time) {
-        let rules = &self.link.rules;
-        let mut expired: Vec<(PartitionId, MessageId, Stage)> = Vec::new();
-        for (partition, part) in self.partitions.iter().filter(|(k, _)| rules.is_spool_partition(k) && self.is_serving(k, now)) {
-            let Some(lead) = part.leader_state.as_ref() else { continue };
-            for (route_name, due) in &lead.queues.routed {
-                let route = rules.routes.get(route_name);
-                for (_, seq) in due.iter() {
-                    let Some(record) = lead.queues.ids.get(&seq).and_then(|id| part.records.get(id)) else { continue };
-                    // A message whose success is deferred has not expired.
-                    let may_expire =
-                        !lead.unpublished_successes.contains(&seq) && !lead.queues.is_held(seq, lead.hold_until, now);
-                    if route.is_none_or(|x| now.since(record.received_at) > x.ttl) && may_expire {
-                        expired.push((partition.clone(), record.header.id.clone(), stage_after_work(record, Outcome::Expired)));
-                    }
-                }
-            }
-        }
-        for (partition, id, next) in expired {
-            if let Some(part) = self.partitions.get_mut(&partition) {
-                let (Some(lead), Some(record)) = (part.leader_state.as_mut(), part.records.get(&id)) else { continue };
-                if let Some(due) = lead.queues.routed.get_mut(&record.header.route) {
-                    due.remove(record.header.seq);
-                }
-            }
-            self.set_stage(&partition, &id, next, None, now);
-        }
-    }
 }
--- a/crates/queue/tests/dispatch_queues.rs
+++ b/crates/queue/tests/dispatch_queues.rs
@@ -52,12 +52,13 @@
     let mut queues = DispatchQueues { ordered: true, ..DispatchQueues::default() };
     queues.enqueue(&header(1), Stage::Pending, NOW);
     queues.enqueue(&header(2), Stage::Pending, NOW);
-    queues.finish_work(&header(1), NOW);
+    assert_eq!(queues.finish_work(&header(1)), Some(2));
+    queues.enqueue_next(&header(2), NOW);
     assert_eq!(queues.routed["turns"].not_before(2), Some(NOW));
     // It was dispatched, and its end is applied but not yet committed.
     queues.routed.get_mut("turns").unwrap().remove(2);
-    queues.finish_work(&header(1), NOW);
+    assert_eq!(queues.finish_work(&header(1)), None);
     assert_eq!(queues.routed["turns"].not_before(2), None);
-    queues.finish_work(&header(2), NOW);
+    assert_eq!(queues.finish_work(&header(2)), None);
     assert!(queues.pending_by_key.is_empty());
 }
--- a/crates/queue/tests/loaded_stores/mod.rs
+++ b/crates/queue/tests/loaded_stores/mod.rs
@@ -363,7 +363,8 @@
             crc: crc32(&body),
             len: BODY_BYTES as u32,
             route: "bulk".into(),
-            caller_request: Some(Box::default()),
+            route_pattern: "h/".into(),
+            caller_request: Some(Box::new(caller_request())),
             ..MessageHeader::default()
         };
         let message = PeerMessage::Submit {
--- a/crates/queue/tests/route_queue.rs
+++ b/crates/queue/tests/route_queue.rs
@@ -85,7 +85,9 @@
     }
     let queue = queues.routed.get_mut("turns").unwrap();
     assert_eq!(order(queue), [4, 2, 1]);
-    queues.finish_work(&header(1, "a"), NOW);
+    let next = queues.finish_work(&header(1, "a"));
+    assert_eq!(next, Some(3));
+    queues.enqueue_next(&header(3, "a"), NOW);
     let queue = queues.routed.get_mut("turns").unwrap();
     assert_eq!(queue.oldest_ready(NOW), Some(Time::millis(1_500)));
 }
--- a/crates/queue/tests/settings/mod.rs
+++ b/crates/queue/tests/settings/mod.rs
@@ -17,6 +17,12 @@
     }
 }
 
+/// A request that the route "bulk" of the tests matches.
+#[allow(dead_code)]
+pub fn caller_request() -> CallerRequest {
+    CallerRequest { host: "h".into(), path: "/sheet".into(), ..CallerRequest::default() }
+}
+
 pub fn startup(me: Member) -> Startup {
     Startup {
         me,
--- a/crates/queue/tests/store_pair/mod.rs
+++ b/crates/queue/tests/store_pair/mod.rs
@@ -30,6 +30,10 @@
     pub responses: Vec<SubmitOutcome>,
     /// Bodies that a store requested from a replica outside the stores.
     pub requested_bodies: Vec<MessageId>,
+    /// The configuration in force, and how many there were.
+    config: (String, u64),
+    /// The epoch under which the first store leads.
+    epoch: Epoch,
     /// The files that each store saved.
     pub files: [BTreeMap<String, Bytes>; 2],
 }
@@ -46,6 +50,8 @@
             offers: Vec::new(),
             responses: Vec::new(),
             requested_bodies: Vec::new(),
+            config: (ROUTES.to_string(), 1),
+            epoch: epoch(),
             files: Default::default(),
         };
         for at in [0, 1] {
@@ -82,9 +88,9 @@
     pub fn pull_response(&self, at: usize, requested_at: Time) -> PeerMessage {
         let version = Version { term: TERM, count: 1 };
         let member_of = |n: u64| Member { disk_id: IncarnationId(n), ..member(&format!("store-{n}"), &format!("z{n}")) };
-        let location = PartitionLocation { leader: daemon("store-1"), epoch: epoch() };
+        let location = PartitionLocation { leader: daemon("store-1"), epoch: self.epoch };
         let updates = vec![
-            (version, Update::Config(ROUTES.to_string())),
+            (Version { count: self.config.1, ..version }, Update::Config(self.config.0.clone())),
             (version, Update::Members(vec![member_of(1), member_of(2)])),
             (version, Update::Partitions(vec![(partition(), location)])),
         ];
@@ -92,7 +98,7 @@
         let duty = Duty::Lead(partition());
         let grant = Grant {
             duty,
-            epoch: epoch(),
+            epoch: self.epoch,
             write_set: set,
             replacement: None,
             replacement_number: Version::ZERO,
@@ -120,17 +126,45 @@
         }
     }
 
+    /// A newer configuration comes into force.
+    pub fn configure(&mut self, config: &str) {
+        self.config = (config.to_string(), self.config.1 + 1);
+        self.run(Span::millis(600));
+    }
+
+    /// The leader restarts on its files, and opens the partition again under a newer
+    /// configuration.
+    pub fn restart_leader(&mut self, config: &str) {
+        self.epoch.count += 1;
+        self.config = (config.to_string(), self.config.1 + 1);
+        let files: Vec<(String, Bytes)> = self.files[0].clone().into_iter().collect();
+        let me = Member { disk_id: IncarnationId(1), ..member("store-1", "z1") };
+        let (core, effects) = Store::new(startup(me), &files, IncarnationId(1), self.now);
+        self.cores[0] = core;
+        for effect in effects {
+            if let Effect::Save { number, .. } = effect {
+                self.step(0, Event::Saved(number));
+            }
+        }
+        self.run(Span::millis(600));
+    }
+
     /// A proxy submits the message; returns the responses to it.
     pub fn submit(&mut self) -> Vec<SubmitOutcome> {
-        let body = Bytes::from_static(b"body");
         let header = MessageHeader {
             id: MessageId("0-1".into()),
-            crc: crc32(&body),
-            len: body.len() as u32,
             route: "bulk".into(),
-            caller_request: Some(Box::default()),
+            route_pattern: "h/".into(),
+            caller_request: Some(Box::new(caller_request())),
             ..MessageHeader::default()
         };
+        self.submit_header(header)
+    }
+
+    /// The same for a message with this header.
+    pub fn submit_header(&mut self, header: MessageHeader) -> Vec<SubmitOutcome> {
+        let body = Bytes::from_static(b"body");
+        let header = MessageHeader { crc: crc32(&body), len: body.len() as u32, ..header };
         let message = PeerMessage::Submit {
             request_id: 1,
             proxy: daemon("proxy-1"),
@@ -152,8 +186,14 @@
 
     /// The delivery, in one of its incarnations, reports its capacity.
     pub fn report_capacity(&mut self, incarnation: IncarnationId, requested_at: Time) {
-        let capacity = RoutedCapacity { incarnation, services: vec![("sheets".into(), 4)], addresses: Vec::new() };
-        let partitions = vec![(partition(), epoch())];
+        self.report_capacity_for(&["sheets"], incarnation, requested_at);
+    }
+
+    /// The same for workers of these services.
+    pub fn report_capacity_for(&mut self, services: &[&str], incarnation: IncarnationId, requested_at: Time) {
+        let services = services.iter().map(|service| (service.to_string(), 4)).collect();
+        let capacity = RoutedCapacity { incarnation, services, addresses: Vec::new() };
+        let partitions = vec![(partition(), self.epoch)];
         let message =
             PeerMessage::Capacity { requested_at, duties: Vec::new(), partitions, in_flight: Vec::new(), routed: Some(capacity) };
         self.step(0, Event::MessageReceived { from: daemon("delivery-1"), message });
--- a/crates/queue/tests/three_stores/mod.rs
+++ b/crates/queue/tests/three_stores/mod.rs
@@ -202,6 +202,7 @@
             callback: String::new(),
             ttl: None,
             route: String::new(),
+            route_pattern: String::new(),
             caller_request: None,
             accepted_unix_micros: 0,
             delay: Span::ZERO,
