Offers are bounded in bytes, and divided into messages that fit a frame

Cause: all that a store handed to one delivery in a step went into one message, bounded by worker slots only. Over 8 MiB encode_frame dropped it with nothing but a counter; the attempts ran into their deadline together and went into one frame again.

Change: a message of offers is closed at 1 MiB; body bytes in flight from one store at one delivery are at most 8 MiB, half of what is queued for one peer, or less where the delivery says so from its memory (RoutedCapacity::body_bytes, bounds.attempt_bytes). A frame that is too large is an error with a number (113). Bodies of routed messages have 2 MiB at most, so that parts of copies fit a frame as well. This works as no message of offers can reach 8 MiB any more, and no burst of them the transport's queue.

--- a/crates/delivery/src/run/routed.rs
+++ b/crates/delivery/src/run/routed.rs
@@ -173,7 +173,12 @@
             };
             services.insert(s.name.clone(), capacity);
         }
-        Some(RoutedCapacity { incarnation: self.startup.me.incarnation, services: services.into_iter().collect(), addresses })
+        Some(RoutedCapacity {
+            incarnation: self.startup.me.incarnation,
+            services: services.into_iter().collect(),
+            addresses,
+            body_bytes: (self.startup.max_body_bytes / leaders.max(1) as u64).max(1),
+        })
     }
 
     /// The most open calls to the address of a service that has one address instead of workers.
--- a/crates/delivery/tests/harness/mod.rs
+++ b/crates/delivery/tests/harness/mod.rs
@@ -86,6 +86,7 @@
             pull_interval: Span::millis(300),
             lease_terms: LeaseTerms::default(),
             max_attempts: 64,
+            max_body_bytes: 12 << 20,
             cold_calls_per_second: 5.0,
             random_seed: 1,
         };
--- a/crates/ingest/src/proxy/routed.rs
+++ b/crates/ingest/src/proxy/routed.rs
@@ -69,10 +69,13 @@
             self.counts.rejected += 1;
             return self.respond(request, responses::rejected(404, "no route matches this host and path", None));
         };
-        let max_body_bytes = self.link.rules.limits.max_body_bytes;
+        let max_body_bytes = match self.link.rules.limits.max_body_bytes {
+            0 => MAX_BODY_BYTES,
+            configured => configured.min(MAX_BODY_BYTES),
+        };
         let invalid = match () {
             _ if caller_request.id.is_empty() => Some((400, "a request needs an id")),
-            _ if max_body_bytes > 0 && body.len() as u64 > max_body_bytes => Some((413, "the body is larger than is taken")),
+            _ if body.len() as u64 > max_body_bytes => Some((413, "the body is larger than is taken")),
             _ if route.ordered && caller_request.key.is_empty() => Some((400, "this route is ordered; name an ordering key")),
             _ => None,
         };
--- a/crates/queue/src/dispatch_queues.rs
+++ b/crates/queue/src/dispatch_queues.rs
@@ -16,6 +16,8 @@
     pub incarnation: IncarnationId,
     /// After this, by the leader's clock, no connection of the attempt is open.
     pub deadline: Time,
+    /// Size of the body that was offered.
+    pub body_bytes: u64,
 }
 
 /// The dispatch state of one partition; messages are named by sequence number.
--- a/crates/queue/src/store/posts.rs
+++ b/crates/queue/src/store/posts.rs
@@ -1,6 +1,7 @@
 //! Routed messages: dispatched to any delivery that can reach a worker of their service,
 //! and retried, given up or expired.
 use super::dispatch::stage_after_work;
+use super::offers::OfferBatch;
 use super::{Body, BodyWaiter};
 use crate::prelude::*;
 
@@ -15,6 +16,7 @@
     received_at: Time,
     services: BTreeMap<String, u32>,
     addresses: BTreeSet<Duty>,
+    body_bytes: u64,
 }
 
 /// Remembered per delivery. A report from an incarnation before these would come hours
@@ -94,6 +96,7 @@
                 received_at: now,
                 services,
                 addresses,
+                body_bytes: capacity.body_bytes,
             },
         );
         self.requeue_unclaimed_routed(from, partitions, in_flight, now);
@@ -213,25 +216,23 @@
                 destinations.entry(Destination::Address(callback.clone())).or_default().push(queue);
             }
         }
-        let mut offers: BTreeMap<Daemon, (Time, Vec<Offer>)> = BTreeMap::new();
+        let mut offers = self.begin_offers();
         for (destination, mut queues) in destinations {
             queues.sort_by_key(|l| std::cmp::Reverse((l.priority, l.oldest_due)));
             while let Some(queue) = queues.pop() {
-                let Some((to, requested_at, incarnation)) = self.choose_delivery(&destination, &in_flight, now) else {
+                let Some((to, requested_at, incarnation)) = self.choose_delivery(&destination, &in_flight, &offers, now) else {
                     break;
                 };
                 let Some(offer) = self.take_routed(&queue, &destination, &to, incarnation, now) else { continue };
                 *in_flight.entry((destination.clone(), to.clone())).or_default() += 1;
                 self.counts.attempts_offered += 1;
-                offers.entry(to).or_insert((requested_at, Vec::new())).1.push(offer);
+                offers.add(to, requested_at, offer);
                 // Queues of the same priority take turns.
                 let at = queues.iter().position(|q| q.priority == queue.priority).unwrap_or(queues.len());
                 queues.insert(at, queue);
             }
         }
-        for (to, (requested_at, entries)) in offers {
-            self.send(&to, PeerMessage::Offers { requested_at, entries });
-        }
+        self.send_offers(offers);
     }
 
     /// The delivery with spare capacity for a destination: one in this zone first, then the
@@ -240,6 +241,7 @@
         &self,
         destination: &Destination,
         in_flight: &BTreeMap<(Destination, Daemon), u32>,
+        offers: &OfferBatch,
         now: Time,
     ) -> Option<(Daemon, Time, IncarnationId)> {
         let zone = &self.startup.me.zone;
@@ -253,6 +255,7 @@
         };
         let current = self.routed_capacity.iter().filter(|(_, t)| now.since(t.received_at) < MAX_ROUTED_CAPACITY_AGE);
         let chosen = current
+            .filter(|(d, t)| offers.has_room(d, t.body_bytes))
             .map(|(d, t)| (spare_capacity(d, t), d, t))
             .filter(|x| x.0 > 0)
             .max_by_key(|(spare, d, _)| (self.link.zone_of(d) == Some(zone), *spare, std::cmp::Reverse(*d)))?;
@@ -349,6 +352,7 @@
                 destination: Some(destination.clone()),
                 incarnation,
                 deadline: now + (attempt + MAX_ROUTED_START_DELAY).percent(105),
+                body_bytes: body.len() as u64,
             };
             lead.queues.in_flight.insert(seq, dispatched);
             let partition = partition.clone();
--- a/crates/queue/tests/dispatch_queues.rs
+++ b/crates/queue/tests/dispatch_queues.rs
@@ -13,6 +13,7 @@
         destination: None,
         incarnation: IncarnationId(0),
         deadline: NOW + Span::secs(3),
+        body_bytes: 0,
     }
 }
 
--- a/crates/queue/tests/loaded_stores/mod.rs
+++ b/crates/queue/tests/loaded_stores/mod.rs
@@ -387,8 +387,11 @@
 
     /// The delivery reports its capacity.
     fn report_capacity(&mut self) {
-        let capacity =
-            RoutedCapacity { incarnation: IncarnationId(7), services: vec![("sheets".into(), 100_000)], addresses: Vec::new() };
+        let capacity = RoutedCapacity {
+            incarnation: IncarnationId(7),
+            services: vec![("sheets".into(), 100_000)],
+            ..RoutedCapacity::default()
+        };
         let partitions = vec![(partition(), EPOCH)];
         let message = PeerMessage::Capacity {
             requested_at: self.now,
--- a/crates/queue/tests/renamed_routes.rs
+++ b/crates/queue/tests/renamed_routes.rs
@@ -158,21 +158,12 @@
 fn the_next_of_a_key_follows_the_route() {
     let mut stores = stores_with(order("m1"));
     stores.submit_header(order("m2"));
-    let first = offered(&mut stores);
-    assert_eq!(first, to_service("ledger", "r-1"));
+    stores.run(DELAY);
+    stores.report_capacity_for(&SERVICES, FIRST_INCARNATION, stores.now);
+    let first = stores.offers.pop().expect("no offer");
+    assert_eq!((first.header.id.as_str(), first.header.route.as_str()), ("m1", "r-1"));
     stores.configure(&config(3, &[("r-1", "/alerts/", "gateway"), ("r-2", "/orders/", "ledger")]));
-    let result = AttemptResult {
-        partition: partition(),
-        id: MessageId("m1".into()),
-        epoch: epoch(),
-        attempt: 1,
-        stage: Stage::Pending,
-        outcome: AttemptOutcome::Success,
-        completion_token: "t".into(),
-        ended_ago: Span::ZERO,
-    };
-    let message = PeerMessage::AttemptResults { entries: vec![result] };
-    stores.step(0, Event::MessageReceived { from: settings::daemon("delivery-1"), message });
+    stores.succeed(&first);
     assert_eq!(offered(&mut stores), to_service("ledger", "r-2"));
 }
 
--- a/crates/queue/tests/store_pair/mod.rs
+++ b/crates/queue/tests/store_pair/mod.rs
@@ -26,6 +26,8 @@
     pub now: Time,
     pub cores: [Store; 2],
     pub offers: Vec<Offer>,
+    /// The largest encoded message of offers, in bytes.
+    pub largest_offers_message: usize,
     /// Responses to the proxy.
     pub responses: Vec<SubmitOutcome>,
     /// Bodies that a store requested from a replica outside the stores.
@@ -42,12 +44,19 @@
     pub fn new() -> StorePair {
         let store = |n: u64| {
             let me = Member { disk_id: IncarnationId(n), ..member(&format!("store-{n}"), &format!("z{n}")) };
-            Store::new(startup(me), &Vec::new(), IncarnationId(n), NOW).0
+            Store::new(
+                Startup { max_body_bytes: 1 << 27, max_disk_bytes: 1 << 28, max_cached_bytes: 1 << 27, ..startup(me) },
+                &Vec::new(),
+                IncarnationId(n),
+                NOW,
+            )
+            .0
         };
         let mut stores = StorePair {
             now: NOW,
             cores: [store(1), store(2)],
             offers: Vec::new(),
+            largest_offers_message: 0,
             responses: Vec::new(),
             requested_bodies: Vec::new(),
             config: (ROUTES.to_string(), 1),
@@ -79,12 +88,19 @@
                     let message = self.pull_response(at, requested_at);
                     self.step(at, Event::MessageReceived { from: to, message });
                 }
-                Effect::Send(_, PeerMessage::Offers { entries: all, .. }) => self.offers.extend(all),
+                Effect::Send(_, message @ PeerMessage::Offers { .. }) => self.receive_offers(message),
                 _ => {}
             }
         }
     }
 
+    fn receive_offers(&mut self, message: PeerMessage) {
+        self.largest_offers_message = self.largest_offers_message.max(encode(&message).len());
+        if let PeerMessage::Offers { entries, .. } = message {
+            self.offers.extend(entries);
+        }
+    }
+
     pub fn pull_response(&self, at: usize, requested_at: Time) -> PeerMessage {
         let version = Version { term: TERM, count: 1 };
         let member_of = |n: u64| Member { disk_id: IncarnationId(n), ..member(&format!("store-{n}"), &format!("z{n}")) };
@@ -132,6 +148,22 @@
         self.run(Span::millis(600));
     }
 
+    /// The delivery reports that the attempt of an offer succeeded.
+    pub fn succeed(&mut self, offer: &Offer) {
+        let result = AttemptResult {
+            partition: offer.partition.clone(),
+            id: offer.header.id.clone(),
+            epoch: offer.epoch,
+            attempt: offer.attempt,
+            stage: offer.stage,
+            outcome: AttemptOutcome::Success,
+            completion_token: "t".into(),
+            ended_ago: Span::ZERO,
+        };
+        let message = PeerMessage::AttemptResults { entries: vec![result] };
+        self.step(0, Event::MessageReceived { from: daemon("delivery-1"), message });
+    }
+
     /// The leader restarts on its files, and opens the partition again under a newer
     /// configuration.
     pub fn restart_leader(&mut self, config: &str) {
@@ -163,7 +195,11 @@
 
     /// The same for a message with this header.
     pub fn submit_header(&mut self, header: MessageHeader) -> Vec<SubmitOutcome> {
-        let body = Bytes::from_static(b"body");
+        self.submit_with_body(header, Bytes::from_static(b"body"))
+    }
+
+    /// The same for a message with this header and body.
+    pub fn submit_with_body(&mut self, header: MessageHeader, body: Bytes) -> Vec<SubmitOutcome> {
         let header = MessageHeader { crc: crc32(&body), len: body.len() as u32, ..header };
         let message = PeerMessage::Submit {
             request_id: 1,
@@ -192,7 +228,11 @@
     /// The same for workers of these services.
     pub fn report_capacity_for(&mut self, services: &[&str], incarnation: IncarnationId, requested_at: Time) {
         let services = services.iter().map(|service| (service.to_string(), 4)).collect();
-        let capacity = RoutedCapacity { incarnation, services, addresses: Vec::new() };
+        self.report_routed_capacity(RoutedCapacity { incarnation, services, ..RoutedCapacity::default() }, requested_at);
+    }
+
+    /// The delivery reports this capacity.
+    pub fn report_routed_capacity(&mut self, capacity: RoutedCapacity, requested_at: Time) {
         let partitions = vec![(partition(), self.epoch)];
         let message =
             PeerMessage::Capacity { requested_at, duties: Vec::new(), partitions, in_flight: Vec::new(), routed: Some(capacity) };
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -177,6 +177,7 @@
                     pull_interval: pull,
                     lease_terms: terms,
                     max_attempts: b.hands,
+                    max_body_bytes: 48 << 20,
                     cold_calls_per_second: 2.5,
                     random_seed: seed,
                 };
--- a/crates/shell/src/limits.rs
+++ b/crates/shell/src/limits.rs
@@ -46,6 +46,8 @@
 
 /// Share of the memory for the cache.
 const CACHE_PERMILLE: u64 = 100;
+/// Share of the memory for the bodies of a delivery's attempts.
+const ATTEMPTS_PERMILLE: u64 = 190;
 /// Share of the memory for message headers.
 const HEADERS_PERMILLE: u64 = 500;
 /// Share of the disk that may be used in all.
@@ -69,6 +71,7 @@
         };
         let bounds = &mut startup.bounds;
         set("cache", &mut bounds.cache, share_of(self.memory_mb, CACHE_PERMILLE));
+        set("attempt_bytes", &mut bounds.attempt_bytes, share_of(self.memory_mb, ATTEMPTS_PERMILLE));
         set("messages", &mut bounds.messages, share_of(self.memory_mb, HEADERS_PERMILLE) / HEADER_BYTES);
         set("disk", &mut bounds.disk, share_of(self.disk_mb, DISK_PERMILLE));
         set("bytes", &mut bounds.bytes, share_of(self.disk_mb, BODIES_PERMILLE));
--- a/crates/shell/src/startup.rs
+++ b/crates/shell/src/startup.rs
@@ -190,6 +190,9 @@
     pub seats: u64,
     /// Attempts a delivery has in hand.
     pub hands: usize,
+    /// Bytes of bodies that a delivery has in hand.
+    #[serde(skip_serializing_if = "is_usual_attempt_bytes")]
+    pub attempt_bytes: u64,
     /// Entries of the ring into the core.
     pub ring: usize,
     /// Frames waiting for one peer.
@@ -204,6 +207,9 @@
 fn usual_cache(n: &u64) -> bool {
     *n == Bounds::default().cache
 }
+fn is_usual_attempt_bytes(n: &u64) -> bool {
+    *n == Bounds::default().attempt_bytes
+}
 
 impl Default for Bounds {
     fn default() -> Bounds {
@@ -214,6 +220,7 @@
             messages: 150_000,
             seats: 256,
             hands: 2048,
+            attempt_bytes: 48 << 20,
             ring: 8192,
             frames: 2048,
         }
--- a/crates/wire/src/log_event.rs
+++ b/crates/wire/src/log_event.rs
@@ -30,6 +30,7 @@
     FrameDropped = 110 Warn "a frame from outside was dropped";
     RingFull = 111 Warn "a bounded ring was full; its newest entry was dropped";
     RingSlow = 112 Warn "a bounded ring was full; an end of a call waits for it";
+    FrameTooLarge = 113 Error "a message to a peer is larger than a frame may be; it was not sent";
     DiskFailed = 120 Error "the disk failed; what was asked of it is tried again";
     DiskCorrupt = 121 Error "a file's checksum is wrong; its folder is emptied and filled again from peers";
     DiskRecovered = 122 Info "the disk takes writes again";
