--- a/crates/disk/src/directory.rs
+++ b/crates/disk/src/directory.rs
@@ -18,9 +18,9 @@
     /// `len` bytes of a file from `offset` on; `None` when there is no such
     /// file or it is too short.
     fn read_at(&self, name: &str, offset: u64, len: u32) -> io::Result<Option<Bytes>>;
-    /// Creates the file or replaces its bytes, and syncs the bytes. The name of
-    /// a new file is durable only after `sync`.
-    fn write_synced(&self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Creates the file or replaces its bytes, and syncs the bytes: a header and what
+    /// follows it. The name of a new file is durable only after `sync`.
+    fn write_synced(&self, name: &str, header: &[u8], contents: &[u8]) -> io::Result<()>;
     /// Renames a file, replacing the one of the new name.
     fn rename(&self, from: &str, to: &str) -> io::Result<()>;
     /// Removes a file; one that is not there counts as removed.
@@ -76,9 +76,10 @@
         }
     }
 
-    fn write_synced(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+    fn write_synced(&self, name: &str, header: &[u8], contents: &[u8]) -> io::Result<()> {
         let mut file = File::create(self.path.join(name))?;
-        file.write_all(bytes)?;
+        file.write_all(header)?;
+        file.write_all(contents)?;
         file.sync_data()
     }
 
--- a/crates/disk/tests/power_loss/model.rs
+++ b/crates/disk/tests/power_loss/model.rs
@@ -170,7 +170,8 @@
         Ok(range.map(Bytes::copy_from_slice))
     }
 
-    fn write_synced(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+    fn write_synced(&self, name: &str, header: &[u8], contents: &[u8]) -> io::Result<()> {
+        let bytes = [header, contents].concat();
         let mut state = self.state();
         state.step()?;
         let file = match state.names.get(name) {
--- a/crates/queue/src/journal.rs
+++ b/crates/queue/src/journal.rs
@@ -172,18 +172,37 @@
     }
 }
 
-/// Decodes a segment: its entries, each with the offset of its end; `None` when any
-/// part of it can't be read.
-pub fn decode_segment(bytes: &[u8]) -> Option<Vec<(u64, JournalEntry)>> {
-    let (header_len, count) = parse_array_header(bytes)?;
-    let mut rest = &bytes[header_len..];
-    let mut out = Vec::with_capacity(count.min(4096));
-    for _ in 0..count {
+/// A segment can't be read to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CorruptSegment;
+
+/// Reads the entries of a segment one by one, so that they are never all in memory:
+/// each with the offset of its end. Ends after the first error.
+pub struct SegmentReader<'a> {
+    size: usize,
+    rest: &'a [u8],
+    remaining: usize,
+}
+
+impl<'a> SegmentReader<'a> {
+    pub fn new(bytes: &'a [u8]) -> Result<SegmentReader<'a>, CorruptSegment> {
+        let (header_len, remaining) = parse_array_header(bytes).ok_or(CorruptSegment)?;
+        Ok(SegmentReader { size: bytes.len(), rest: &bytes[header_len..], remaining })
+    }
+}
+
+impl Iterator for SegmentReader<'_> {
+    type Item = Result<(u64, JournalEntry), CorruptSegment>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        self.remaining = self.remaining.checked_sub(1)?;
         // Reading from a slice advances it past what was read.
-        let entry = ciborium::from_reader(&mut rest).ok()?;
-        out.push(((bytes.len() - rest.len()) as u64, entry));
+        let Ok(entry) = ciborium::from_reader(&mut self.rest) else {
+            self.remaining = 0;
+            return Some(Err(CorruptSegment));
+        };
+        Some(Ok(((self.size - self.rest.len()) as u64, entry)))
     }
-    Some(out)
 }
 
 /// The file name of the segment that holds these saves.
--- a/crates/queue/src/partial_copy.rs
+++ b/crates/queue/src/partial_copy.rs
@@ -17,7 +17,8 @@
 /// Invariants: `replica` holds exactly the records that the source had at operation
 /// `position.last_op`, among those up to `position.last_id`; `missing_bodies` names
 /// at least every record of them whose body is neither here nor, as far as is known,
-/// already held by this store's own replica.
+/// already held by this store's own replica. A body is here only until it is written
+/// to the journal, so memory does not grow with the bodies of the partition.
 #[derive(Default)]
 pub struct PartialCopy {
     replica: Box<PartitionReplica>,
@@ -32,9 +33,12 @@
     complete: bool,
     /// Messages whose body is still to be requested.
     missing_bodies: BTreeSet<MessageId>,
+    /// Messages whose body has arrived, and that are not written yet.
+    arrived: BTreeSet<MessageId>,
     /// Bodies received before the copy was restarted: a message's body never changes.
     reusable_bodies: BTreeMap<MessageId, Bytes>,
-    /// Bytes received in parts: an upper bound of what the copy holds in memory.
+    /// Bytes received in parts, without the bodies that are written: an upper bound of
+    /// what the copy holds in memory.
     received_bytes: usize,
 }
 
@@ -127,7 +131,7 @@
         self.received_bytes += part.ops.iter().map(operation_size).sum::<usize>();
         let has_content = part.from.is_none() || !part.records.is_empty() || !part.bodies.is_empty() || !part.complete;
         for op in &part.ops {
-            self.apply_op(partition, op, now);
+            self.apply_op(partition, op, &held, now);
         }
         self.add_bodies(part.bodies);
         if let Some((last, _)) = part.records.last() {
@@ -145,30 +149,45 @@
         }
     }
 
-    fn apply_op(&mut self, partition: &PartitionId, op: &PartitionOp, now: Time) {
+    fn apply_op(&mut self, partition: &PartitionId, op: &PartitionOp, held: &impl Fn(&MessageHeader) -> bool, now: Time) {
         self.replica.apply(partition, op, 0, now, &mut self.scratch_journal);
         self.missing_bodies.remove(op.id());
-        self.mark_if_missing(op.id());
+        let Some(record) = self.replica.records.get(op.id()) else { return };
+        if matches!(op, PartitionOp::Put(..)) {
+            self.arrived.insert(op.id().clone());
+        } else if record.loaded_body().is_none() && !held(&record.header) {
+            self.missing_bodies.insert(op.id().clone());
+        }
     }
 
     fn put_record(&mut self, header: &MessageHeader, stage: Stage, held: &impl Fn(&MessageHeader) -> bool, now: Time) {
         self.replica.put_record(header, stage, &Bytes::new(), 0, now, &mut self.scratch_journal);
         let Some(record) = self.replica.records.get_mut(&header.id) else { return };
-        if record.header.len == 0 {
-            return;
+        if record.header.len > 0 {
+            record.body = self.reusable_bodies.remove(&header.id).filter(|body| header.matches(body));
         }
-        record.body = self.reusable_bodies.remove(&header.id).filter(|body| header.matches(body));
-        if record.body.is_none() && !held(header) {
+        if record.loaded_body().is_some() {
+            self.arrived.insert(header.id.clone());
+        } else if !held(header) {
             self.missing_bodies.insert(header.id.clone());
         }
     }
 
-    /// Marks a record's body as missing if it is not here.
-    fn mark_if_missing(&mut self, id: &MessageId) {
-        let Some(record) = self.replica.records.get(id) else { return };
-        if record.loaded_body().is_none() {
-            self.missing_bodies.insert(id.clone());
-        }
+    /// The records that have arrived since the last call, with their bodies.
+    pub fn take_arrived(&mut self) -> Vec<Record> {
+        let ids = std::mem::take(&mut self.arrived);
+        ids.iter()
+            .filter_map(|id| self.replica.records.get(id))
+            .filter(|record| record.loaded_body().is_some())
+            .cloned()
+            .collect()
+    }
+
+    /// Releases the body of a record that this store's own replica holds now.
+    pub fn release_body(&mut self, id: &MessageId) {
+        let Some(record) = self.replica.records.get_mut(id) else { return };
+        let released = record.body.take().map_or(0, |body| body.len());
+        self.received_bytes = self.received_bytes.saturating_sub(released);
     }
 
     /// Adds bodies of its records; false when a body does not match its header.
@@ -183,6 +202,7 @@
             self.received_bytes += body.len();
             record.body = Some(body);
             self.missing_bodies.remove(&id);
+            self.arrived.insert(id);
         }
         all_match
     }
--- a/crates/queue/src/partition_replica.rs
+++ b/crates/queue/src/partition_replica.rs
@@ -68,7 +68,8 @@
 ///
 /// Invariants: `installed_epoch <= promised_epoch`; `last_op` counts the ops of epoch
 /// `installed_epoch` applied here without a gap, so of two replicas the one with the
-/// higher (`installed_epoch`, `last_op`) holds everything in the other's history.
+/// higher (`installed_epoch`, `last_op`) holds everything in the other's history. It may
+/// hold records of an unfinished copy besides, see `Store::write_arrived`.
 #[derive(Default)]
 pub struct PartitionReplica {
     /// Nothing is accepted from lower epochs.
--- a/crates/shell/tests/disk.rs
+++ b/crates/shell/tests/disk.rs
@@ -33,15 +33,15 @@
     fn read_at(&self, name: &str, offset: u64, len: u32) -> io::Result<Option<Bytes>> {
         self.real.read_at(name, offset, len)
     }
-    fn write_synced(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+    fn write_synced(&self, name: &str, header: &[u8], contents: &[u8]) -> io::Result<()> {
         if self.full.load(Ordering::Acquire) {
-            self.real.write_synced(name, &bytes[..bytes.len() / 2])?;
+            self.real.write_synced(name, header, &contents[..contents.len() / 2])?;
             return Err(io::ErrorKind::StorageFull.into());
         }
         if self.slow.load(Ordering::Acquire) {
             std::thread::sleep(Duration::from_millis(220));
         }
-        self.real.write_synced(name, bytes)
+        self.real.write_synced(name, header, contents)
     }
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         self.real.rename(from, to)
