Records of an unfinished copy are no part of a replica's history

Change: a record of a copy says at which state it was copied, and belongs to the history once the replica's state has reached that. Until then it is neither served nor copied further, and it is dropped before an epoch is adopted.

Evidence: the two new tests of large_copies.rs fail before, one of them also for a replica that has restarted meanwhile.

--- a/crates/queue/src/journal.rs
+++ b/crates/queue/src/journal.rs
@@ -57,6 +57,11 @@
         #[serde(rename = "head")]
         header: MessageHeader,
         stage: Stage,
+        /// Set if it came with a copy, which may not be installed yet. The build before
+        /// ignores it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        #[serde(rename = "copied")]
+        copied_at: Option<CopiedAt>,
         body: Bytes,
     },
     /// An operation, with its number under the installed epoch.
--- a/crates/queue/src/partition_replica.rs
+++ b/crates/queue/src/partition_replica.rs
@@ -1,6 +1,15 @@
 //! The replica of one partition at one store, leader or not.
 use crate::prelude::*;
 
+/// The state that a replica needs for a record of a copy to be part of its history:
+/// what the copy contained when the record arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CopiedAt {
+    pub epoch: Epoch,
+    #[serde(rename = "n")]
+    pub last_op: u64,
+}
+
 /// A message of the partition.
 ///
 /// Invariants: `stage` never goes back; the body is in the segment that holds the save
@@ -12,6 +21,8 @@
     pub stage: Stage,
     /// `None` when it is only on disk.
     pub body: Option<Bytes>,
+    /// Set if the record came with a copy.
+    pub copied_at: Option<CopiedAt>,
     /// The journal save that holds the body.
     pub saved_in: u64,
     /// Where the body begins in its segment.
@@ -68,8 +79,9 @@
 ///
 /// Invariants: `installed_epoch <= promised_epoch`; `last_op` counts the ops of epoch
 /// `installed_epoch` applied here without a gap, so of two replicas the one with the
-/// higher (`installed_epoch`, `last_op`) holds everything in the other's history. It may
-/// hold records of an unfinished copy besides, see `Store::write_arrived`.
+/// higher (`installed_epoch`, `last_op`) holds everything in the other's history. Records
+/// of an unfinished copy are no part of that (`is_foreign`): they are dropped before the
+/// replica adopts an epoch, and neither served nor copied.
 #[derive(Default)]
 pub struct PartitionReplica {
     /// Nothing is accepted from lower epochs.
@@ -130,6 +142,7 @@
             journal.remove_live_record(r.saved_in);
             journal.add_live_record(save);
             r.saved_in = save;
+            r.copied_at = None;
             r.body = Some(body.clone());
             let old_len = i64::from(r.header.len);
             // An older journal entry of it may lack the completion token.
@@ -148,6 +161,7 @@
             header: header.clone(),
             stage,
             body: Some(body.clone()),
+            copied_at: None,
             saved_in: save,
             offset: 0,
             stage_saved_in: save,
@@ -168,12 +182,22 @@
         journal.removed_records.push((r.saved_in, partition.clone(), id.clone()));
         -i64::from(r.header.len)
     }
+    /// Whether a record is no part of the replica's history: it came with a copy that was
+    /// not installed.
+    pub fn is_foreign(&self, record: &Record) -> bool {
+        let state = CopiedAt { epoch: self.installed_epoch, last_op: self.last_op };
+        record.copied_at.is_some_and(|copied_at| copied_at > state)
+    }
+    /// The ids of the records that are no part of the replica's history.
+    pub fn foreign_records(&self) -> Vec<MessageId> {
+        self.records.iter().filter(|(_, record)| self.is_foreign(record)).map(|(id, _)| id.clone()).collect()
+    }
     /// All records, without bodies.
     pub fn snapshot(&self) -> PartitionSnapshot {
         PartitionSnapshot {
             last_op: self.last_op,
             next_seq: self.next_seq,
-            headers: self.records.values().map(|r| (r.header.clone(), r.stage)).collect(),
+            headers: self.records.values().filter(|r| !self.is_foreign(r)).map(|r| (r.header.clone(), r.stage)).collect(),
         }
     }
     /// Removes all records but these, which get these stages and sequence numbers.
--- a/crates/queue/src/store/copy_source.rs
+++ b/crates/queue/src/store/copy_source.rs
@@ -167,7 +167,8 @@
     /// The next records by id, and whether these are the last.
     fn records_after(&self, after: Option<&MessageId>) -> (Vec<(MessageHeader, Stage)>, bool) {
         let begin = after.map_or(Bound::Unbounded, Bound::Excluded);
-        let mut rest = self.records.range::<MessageId, _>((begin, Bound::Unbounded)).map(|entry| entry.1).peekable();
+        let rest = self.records.range::<MessageId, _>((begin, Bound::Unbounded)).map(|entry| entry.1);
+        let mut rest = rest.filter(|record| !self.is_foreign(record)).peekable();
         let mut records = Vec::new();
         let mut size = 0;
         while let Some(record) = rest.next_if(|_| records.len() < MAX_RECORDS_PER_PART && size < MAX_RECORD_BYTES_PER_PART) {
--- a/crates/queue/tests/large_copies.rs
+++ b/crates/queue/tests/large_copies.rs
@@ -288,3 +288,41 @@
     replica.receive(part(Vec::new(), vec![(header(2).id, body(2))], position));
     assert_eq!((replica.installed_epoch(), stage(&replica)), (next, Stage::Pending));
 }
+
+/// An unfinished copy brought a message that no majority has. The next leader does not
+/// have it either, may refuse it, and finds this replica's own state to be its own: the
+/// replica adopts its epoch without it, also after a restart.
+#[test]
+fn an_adopted_epoch_has_no_record_of_an_unfinished_copy() {
+    for restarts in [false, true] {
+        let mut replica = Replica::new();
+        replica.answer(2, 1);
+        assert_eq!(replica.record_count(), BODIES_PER_PART);
+        if restarts {
+            replica = Replica::on_files(replica.files, replica.now);
+        }
+        let next = Epoch { count: 2, ..EPOCH };
+        let expected = Some((Epoch::default(), 0));
+        replica.receive(PeerMessage::Lagging { partition: partition(), epoch: next, expected, disk_id: DISK, must_fetch: false });
+        assert_eq!((replica.installed_epoch(), replica.record_count(), replica.core.held_bytes), (next, 0, 0));
+        let restarted = Replica::on_files(replica.files, replica.now);
+        assert_eq!((restarted.record_count(), restarted.core.held_bytes), (0, 0));
+    }
+}
+
+/// A replica does not pass records of an unfinished copy on to a store that copies from it.
+#[test]
+fn records_of_an_unfinished_copy_are_not_copied_further() {
+    let mut replica = Replica::new();
+    replica.answer(2, 1);
+    let next = Epoch { count: 2, ..EPOCH };
+    replica.receive(PeerMessage::Fence { partition: partition(), epoch: next });
+    let request = Some(CopyRequest::default());
+    let message = PeerMessage::FetchCopy { partition: partition(), epoch: next, request };
+    let effects = replica.core.step(Event::MessageReceived { from: daemon("store-1"), message }, replica.now);
+    let sent = effects.iter().find_map(|effect| match effect {
+        Effect::Send(_, PeerMessage::CopyPart { part, .. }) => Some(part.records.len()),
+        _ => None,
+    });
+    assert_eq!(sent, Some(0));
+}
