Store: a step with nothing due builds no offers; one rule for a copy's state

- begin_offers walks all attempts in flight.
- BodyWaiter::RoutedDispatch names a pattern, not a route.
- Three tests made a header with the checksum of its body: settings::header_of.

--- a/crates/queue/src/partition_replica.rs
+++ b/crates/queue/src/partition_replica.rs
@@ -182,6 +182,15 @@
         journal.removed_records.push((r.saved_in, partition.clone(), id.clone()));
         -i64::from(r.header.len)
     }
+    /// Whether it has all operations of an epoch up to this one.
+    pub fn has_all_ops(&self, epoch: Epoch, last_op: u64) -> bool {
+        self.installed_epoch == epoch && self.last_op >= last_op
+    }
+    /// The state that a copy under this epoch gives it, when the source's last operation
+    /// is `last_op`. For a new leader the operation numbers restart.
+    pub fn state_after_copy(&self, epoch: Epoch, last_op: u64) -> CopiedAt {
+        CopiedAt { epoch, last_op: if self.leader_state.is_some() { 0 } else { last_op } }
+    }
     /// Whether a record is no part of the replica's history: it came with a copy that was
     /// not installed.
     pub fn is_foreign(&self, record: &Record) -> bool {
--- a/crates/queue/src/store/posts.rs
+++ b/crates/queue/src/store/posts.rs
@@ -216,6 +216,9 @@
                 destinations.entry(Destination::Address(callback.clone())).or_default().push(queue);
             }
         }
+        if destinations.is_empty() {
+            return;
+        }
         let mut offers = self.begin_offers();
         for (destination, mut queues) in destinations {
             queues.sort_by_key(|l| std::cmp::Reverse((l.priority, l.oldest_due)));
@@ -328,7 +331,7 @@
                         continue;
                     }
                     reads += 1;
-                    let waiter = BodyWaiter::RoutedDispatch { route: queue.pattern_or_address.clone(), due, seq };
+                    let waiter = BodyWaiter::RoutedDispatch { pattern: queue.pattern_or_address.clone(), due, seq };
                     if !self.read_body_for(partition, &id, waiter) || reads >= MAX_BODY_READS_PER_QUEUE {
                         return None;
                     }
--- a/crates/queue/tests/bounded_copies.rs
+++ b/crates/queue/tests/bounded_copies.rs
@@ -21,14 +21,7 @@
 }
 
 fn header(seq: u64) -> MessageHeader {
-    let body = body(seq);
-    MessageHeader {
-        id: MessageId(format!("m{seq:04}")),
-        seq,
-        crc: crc32(&body),
-        len: body.len() as u32,
-        ..MessageHeader::default()
-    }
+    header_of(&format!("m{seq:04}"), seq, &body(seq))
 }
 
 /// The leader's answer: all records first, then one body at a time.
--- a/crates/queue/tests/copy_fetch.rs
+++ b/crates/queue/tests/copy_fetch.rs
@@ -11,8 +11,7 @@
 }
 
 fn header(name: &str, seq: u64) -> MessageHeader {
-    let body = Bytes::from(name.to_string());
-    MessageHeader { id: MessageId(name.into()), seq, crc: crc32(&body), len: body.len() as u32, ..MessageHeader::default() }
+    header_of(name, seq, name.as_bytes())
 }
 
 fn put(name: &str, seq: u64) -> PartitionOp {
--- a/crates/queue/tests/large_copies.rs
+++ b/crates/queue/tests/large_copies.rs
@@ -25,14 +25,7 @@
 }
 
 fn header(seq: u64) -> MessageHeader {
-    let body = body(seq);
-    MessageHeader {
-        id: MessageId(format!("m{seq:04}")),
-        seq,
-        crc: crc32(&body),
-        len: body.len() as u32,
-        ..MessageHeader::default()
-    }
+    header_of(&format!("m{seq:04}"), seq, &body(seq))
 }
 
 fn seq_of(id: &MessageId) -> u64 {
--- a/crates/queue/tests/settings/mod.rs
+++ b/crates/queue/tests/settings/mod.rs
@@ -17,6 +17,12 @@
     }
 }
 
+/// The header of a message with this body.
+#[allow(dead_code)]
+pub fn header_of(id: &str, seq: u64, body: &[u8]) -> MessageHeader {
+    MessageHeader { id: MessageId(id.into()), seq, crc: crc32(body), len: body.len() as u32, ..MessageHeader::default() }
+}
+
 /// A request that the route "bulk" of the tests matches.
 #[allow(dead_code)]
 pub fn caller_request() -> CallerRequest {
