--- a/review/stand-2/src/callback_url.rs
+++ b/review/stand-2/src/callback_url.rs
@@ -18,7 +18,7 @@
 pub fn run(folder: &Path) -> Verdict {
     let mut fleet = Fleet::new(3);
     let record = Record::new(folder, fleet.began);
-    let world = World::new(&fleet, &record);
+    let world = World::new(&fleet);
     fleet.serve_list();
     let decide = Arc::new(|_: &str, _: &Request, _: u32| Act::Done(Duration::from_millis(100)));
     world.add_workers(&fleet, "tile-server", 6, 12, 1, decide);
@@ -55,10 +55,13 @@
             ("X-Dahliawick-Deadline-Ms", "800".to_string()),
             ("X-Dahliawick-Callback-Url", url.clone()),
         ];
-        let got = call(fronts[n as usize % fronts.len()], "POST", "/nypu660/sheet", &headers, b"sheet", Duration::from_millis(800));
+        let got =
+            call(fronts[n as usize % fronts.len()], "POST", "/nypu660/sheet", &headers, b"sheet", Duration::from_millis(800));
         let status = got.as_ref().map_or(0, |r| r.status);
         record.say(format!("{id} with {url} answered {status}"));
-        if let Some(name) = got.ok().filter(|r| r.status == 202).and_then(|r| r.header("x-dahliawick-message-id").map(String::from)) {
+        if let Some(name) =
+            got.ok().filter(|r| r.status == 202).and_then(|r| r.header("x-dahliawick-message-id").map(String::from))
+        {
             accepted.push((id, name, has_query));
         }
         std::thread::sleep(Duration::from_millis(50));
@@ -77,7 +80,14 @@
         unanswered[usize::from(*has_query)] += 1;
         shown += 1;
         if shown <= 5 {
-            let got = call(fronts[0], "GET", &format!("/api/message/{name}"), &[("Host", HOST.to_string())], b"", Duration::from_secs(2));
+            let got = call(
+                fronts[0],
+                "GET",
+                &format!("/api/message/{name}"),
+                &[("Host", HOST.to_string())],
+                b"",
+                Duration::from_secs(2),
+            );
             let state = got.map(|r| format!("{} {}", r.status, String::from_utf8_lossy(&r.body)));
             record.tell(format!("{id} was done at {} ms ({}), never called back; its state: {state:?}", run.ended_ms, run.seal));
         }
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -13,7 +13,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 pub const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
 
 pub const ZONES: [&str; 3] = ["agdal", "hassan", "souissi"];
@@ -98,16 +97,7 @@
         let dir = std::env::temp_dir().join(format!("review-2-{}-{net}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a temporary folder");
         let seeds = (1..=3).map(|z| format!("127.{net}.{z}.1:{}", ports.control)).collect();
-        Fleet {
-            dir,
-            ports,
-            net,
-            processes: Vec::new(),
-            seeds,
-            edges,
-            began: Instant::now(),
-            workers: Arc::default(),
-        }
+        Fleet { dir, ports, net, processes: Vec::new(), seeds, edges, began: Instant::now(), workers: Arc::default() }
     }
 
     pub fn ip(&self, zone: usize, n: usize) -> String {
@@ -251,7 +241,8 @@
     }
     pub fn is_ready(&self, at: usize) -> bool {
         let addr: SocketAddr = format!("{}:{}", self.processes[at].ip, self.ports.ready).parse().expect("an address");
-        call(addr, "GET", "/api/ready", &[("Host", addr.to_string())], b"", Duration::from_millis(900)).is_ok_and(|r| r.status == 200)
+        call(addr, "GET", "/api/ready", &[("Host", addr.to_string())], b"", Duration::from_millis(900))
+            .is_ok_and(|r| r.status == 200)
     }
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
--- a/review/stand-2/src/founding.rs
+++ b/review/stand-2/src/founding.rs
@@ -23,7 +23,7 @@
 pub fn run(folder: &Path) -> Verdict {
     let mut fleet = Fleet::new(3);
     let record = Record::new(folder, fleet.began);
-    let world = World::new(&fleet, &record);
+    let world = World::new(&fleet);
     fleet.serve_list();
     let decide = Arc::new(|_: &str, _: &Request, _: u32| Act::Done(Duration::from_millis(40)));
     world.add_workers(&fleet, "tile-server", 6, 12, 1, decide);
@@ -82,7 +82,11 @@
         }
         for front in &fronts {
             count += 1;
-            let headers = vec![("Host", HOST.to_string()), ("X-Dahliawick-Request-Id", format!("f{count:07x}")), ("X-Dahliawick-Deadline-Ms", "800".to_string())];
+            let headers = vec![
+                ("Host", HOST.to_string()),
+                ("X-Dahliawick-Request-Id", format!("f{count:07x}")),
+                ("X-Dahliawick-Deadline-Ms", "800".to_string()),
+            ];
             sent += 1;
             let got = call(*front, "POST", "/nypu660/sheet", &headers, b"sheet", Duration::from_millis(800));
             let status = got.map_or(0, |r| r.status);
@@ -98,7 +102,10 @@
     }
     std::thread::sleep(Duration::from_secs(1));
     let runs = world.runs.lock().expect("runs").len();
-    record.tell(format!("{sent} requests sent in {} s, {accepted} accepted, {runs} run; configuration acknowledged: {acknowledged:?}", began.elapsed().as_secs()));
+    record.tell(format!(
+        "{sent} requests sent in {} s, {accepted} accepted, {runs} run; configuration acknowledged: {acknowledged:?}",
+        began.elapsed().as_secs()
+    ));
     record.write();
     if accepted == 0 || runs == 0 {
         Verdict::Broken
--- a/review/stand-2/src/http.rs
+++ b/review/stand-2/src/http.rs
@@ -165,7 +165,14 @@
 }
 
 /// One request over a connection of its own.
-pub fn call(addr: SocketAddr, method: &str, path: &str, headers: &[(&str, String)], body: &[u8], limit: Duration) -> io::Result<Response> {
+pub fn call(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+    limit: Duration,
+) -> io::Result<Response> {
     let end = Instant::now() + limit;
     let mut conn = Conn::connect(addr, limit.min(Duration::from_secs(1)))?;
     conn.stream.set_write_timeout(Some(limit))?;
--- a/review/stand-2/src/last_route.rs
+++ b/review/stand-2/src/last_route.rs
@@ -38,7 +38,7 @@
 pub fn run(folder: &Path) -> Verdict {
     let mut fleet = Fleet::new(3);
     let record = Record::new(folder, fleet.began);
-    let world = World::new(&fleet, &record);
+    let world = World::new(&fleet);
     fleet.serve_list();
     let decide = Arc::new(|_: &str, _: &Request, _: u32| Act::Done(WORK));
     world.add_workers(&fleet, "tile-server", 9, 12, 1, decide);
@@ -69,10 +69,13 @@
             ("X-Dahliawick-Deadline-Ms", "800".to_string()),
             ("X-Dahliawick-Callback-Url", format!("http://{receiver}/done")),
         ];
-        let got = call(fronts[n as usize % fronts.len()], "POST", "/nypu660/sheet", &headers, b"sheet", Duration::from_millis(800));
+        let got =
+            call(fronts[n as usize % fronts.len()], "POST", "/nypu660/sheet", &headers, b"sheet", Duration::from_millis(800));
         let status = got.as_ref().map_or(0, |r| r.status);
         record.say(format!("{id} answered {status}"));
-        if let Some(name) = got.ok().filter(|r| r.status == 202).and_then(|r| r.header("x-dahliawick-message-id").map(String::from)) {
+        if let Some(name) =
+            got.ok().filter(|r| r.status == 202).and_then(|r| r.header("x-dahliawick-message-id").map(String::from))
+        {
             accepted.push((id, name));
         }
         std::thread::sleep(Duration::from_millis(15));
@@ -105,9 +108,19 @@
         }
         done_unanswered += 1;
         if done_unanswered <= 5 {
-            let got = call(fronts[0], "GET", &format!("/api/message/{name}"), &[("Host", HOST.to_string())], b"", Duration::from_secs(2));
+            let got = call(
+                fronts[0],
+                "GET",
+                &format!("/api/message/{name}"),
+                &[("Host", HOST.to_string())],
+                b"",
+                Duration::from_secs(2),
+            );
             let state = got.map(|r| format!("{} {}", r.status, String::from_utf8_lossy(&r.body)));
-            record.tell(format!("{id} ({name}) was done at {} ms ({}), never called back; its state: {state:?}", run.ended_ms, run.seal));
+            record.tell(format!(
+                "{id} ({name}) was done at {} ms ({}), never called back; its state: {state:?}",
+                run.ended_ms, run.seal
+            ));
         }
     }
     let ended_else = accepted.iter().filter(|(id, _)| world.runs_of(id).is_empty() && !backs.contains_key(id)).count();
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -1,11 +1,10 @@
 //! The scripts of the second review: `stand-2 CASE FOLDER`.
 mod callback_url;
 mod fleet;
-mod last_route;
 mod founding;
-mod heads;
 mod http;
-mod moved_route;
+mod last_route;
+mod split_route;
 mod upload;
 mod world;
 
@@ -42,10 +41,9 @@
     let verdict = match case.as_str() {
         "upload" => upload::run(&folder),
         "callback-url" => callback_url::run(&folder),
-        "moved-route" => moved_route::run(&folder),
+        "split-route" => split_route::run(&folder),
         "last-route" => last_route::run(&folder),
         "founding" => founding::run(&folder),
-        "heads" => heads::run(&folder),
         _ => Verdict::CouldNotRun,
     };
     std::process::exit(verdict as i32);
--- a/review/stand-2/src/upload.rs
+++ b/review/stand-2/src/upload.rs
@@ -67,7 +67,7 @@
 pub fn run(folder: &Path) -> Verdict {
     let mut fleet = Fleet::new(3);
     let record = Record::new(folder, fleet.began);
-    let world = World::new(&fleet, &record);
+    let world = World::new(&fleet);
     fleet.serve_list();
     let decide = Arc::new(|_: &str, _: &crate::http::Request, _: u32| Act::Done(Duration::from_millis(40)));
     world.add_workers(&fleet, "tile-server", 6, 12, 1, decide);
@@ -169,7 +169,11 @@
                 fleet.kill(agent);
             }
             if fleet.has_ended(proxy) && fleet.has_ended(agent) {
-                record.tell(format!("{} has ended {} ms after SIGTERM and starts again", fleet.processes[proxy].machine, since.elapsed().as_millis()));
+                record.tell(format!(
+                    "{} has ended {} ms after SIGTERM and starts again",
+                    fleet.processes[proxy].machine,
+                    since.elapsed().as_millis()
+                ));
                 std::thread::sleep(Duration::from_millis(300));
                 fleet.start(proxy);
                 fleet.start(agent);
@@ -212,10 +216,15 @@
         match &o.result {
             Ok(status) => {
                 answered += 1;
-                record.say_at(o.ended_ms, format!("{} to {name}: sent {}..{}, answered {status}", o.id, o.began_ms, o.last_byte_ms));
+                record.say_at(
+                    o.ended_ms,
+                    format!("{} to {name}: sent {}..{}, answered {status}", o.id, o.began_ms, o.last_byte_ms),
+                );
             }
             Err(kind) => {
-                let planned = stops.iter().any(|(n, at)| *n == o.edge && o.began_ms + 4000 >= *at && o.ended_ms >= *at && o.ended_ms <= at + 7000);
+                let planned = stops
+                    .iter()
+                    .any(|(n, at)| *n == o.edge && o.began_ms + 4000 >= *at && o.ended_ms >= *at && o.ended_ms <= at + 7000);
                 let in_time = o.ended_ms < o.began_ms + DEADLINE.as_millis() as u64;
                 let ran = !world.runs_of(&o.id).is_empty();
                 let late = o.ended_ms > o.last_byte_ms + LOSS_SLACK_MS;
