--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -1,4 +1,5 @@
 //! The scripts of the second review: `stand-2 CASE FOLDER`.
+mod budget;
 mod callback_url;
 mod fleet;
 mod founding;
@@ -39,6 +40,7 @@
     let mut args = std::env::args().skip(1);
     let (case, folder) = (args.next().unwrap_or_default(), PathBuf::from(args.next().unwrap_or(".".into())));
     let verdict = match case.as_str() {
+        "budget" => budget::run(&folder),
         "upload" => upload::run(&folder),
         "callback-url" => callback_url::run(&folder),
         "split-route" => split_route::run(&folder),
--- a/review/stand-2/src/upload.rs
+++ b/review/stand-2/src/upload.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// The bounds of the pages.
-const GRACE: Duration = Duration::from_secs(6);
+pub const GRACE: Duration = Duration::from_secs(6);
 const LOSS_SLACK_MS: u64 = 200;
 const DEADLINE: Duration = Duration::from_millis(800);
 /// From the head of a request to the last part of its body.
