Shell: a daemon that ends answers the requests that it has begun to read (LOST)

Cause: the core ended once it had no submission and no lookup; a request whose body is on its way is known to the front only. Its body was read, and nobody was left to ask.

--- a/crates/shell/src/front.rs
+++ b/crates/shell/src/front.rs
@@ -45,9 +45,18 @@
     pub fn told(&self) -> bool {
         self.told.load(Ordering::Relaxed)
     }
+    /// Takes no more connections and requests: every connection ends once the request that
+    /// is under way on it is answered, if there is one.
+    pub fn begin_end(&self) {
+        self.end.send_replace(true);
+    }
+    /// Whether all connections have ended.
+    pub fn has_ended(&self) -> bool {
+        self.end.receiver_count() == 0
+    }
     /// Ends every connection once its answer is out.
     pub async fn end(&self) {
-        self.end.send_replace(true);
+        self.begin_end();
         self.end.closed().await;
     }
 }
--- a/crates/shell/src/network.rs
+++ b/crates/shell/src/network.rs
@@ -36,6 +36,7 @@
 pub struct Network {
     pub peer_transport: Arc<PeerTransport>,
     step_effects: mpsc::Sender<StepEffects>,
+    leaving: Leaving,
     thread: JoinHandle<()>,
 }
 
@@ -48,6 +49,12 @@
         }
         self.step_effects.try_send(step).map_err(|e| e.into_inner())
     }
+    /// Lets callers' connections end, each once the request under way on it is answered;
+    /// returns whether none is left. The core has to go on meanwhile.
+    pub fn end_connections(&self) -> bool {
+        self.leaving.begin_end();
+        self.leaving.has_ended()
+    }
     /// Sends what is queued, finishes the HTTP requests in progress, and ends the thread.
     pub fn shut_down(self) {
         drop(self.step_effects);
@@ -84,6 +91,7 @@
         fronts.push((listener, front.clone()));
     }
     let http_client = HttpClient::new(speech.outbound, events.clone());
+    let leaving = Leaving::default();
     let network_thread = NetworkThread {
         peer_transport: peer_transport.clone(),
         sockets,
@@ -92,7 +100,7 @@
         desk,
         settings: Settings::new(startup.clone()),
         events,
-        leaving: Leaving::default(),
+        leaving: leaving.clone(),
     };
     let (step_effects, queued_steps) = mpsc::channel(MAX_QUEUED_STEPS);
     let (started_tx, started_rx) = std::sync::mpsc::sync_channel(1);
@@ -114,7 +122,7 @@
     if let Err(why) = started {
         return HttpSnafu { addr: &startup.http, why }.fail();
     }
-    Ok(Network { peer_transport, step_effects, thread })
+    Ok(Network { peer_transport, step_effects, leaving, thread })
 }
 
 impl NetworkThread {
