Order: requests of a key that come under another route keep their order (ORDER)

Cause: a message's key is stored behind the order scope of its route, and a route that took over requests of another one got a scope of its own. The two edits were in two partitions, and nothing orders two partitions.

Change: placement gives a route the scopes of the routes whose requests come under it. Routes with several go on in a new scope, whose text holds the earlier ones as predecessors. The key begins with that text, so every leader, copy and restart knows for whom a message waits: its leader asks the leaders of the key's earlier partitions. Nothing is accepted under a replaced scope: leaders tell each other that they refuse it, before the new one is used. Once nothing is under way in the earlier scopes nobody asks any more.

--- a/crates/config/src/routes.rs
+++ b/crates/config/src/routes.rs
@@ -1,5 +1,5 @@
 //! Compiled routes: how a request is matched to a route, and how its message is handled.
-use crate::order_scope::order_scope;
+use crate::order_scope::{order_scope, split_scoped_key, OrderScope};
 use crate::prelude::*;
 
 /// Tenant and name of the spool, the queue that stores routed messages. No tenant of
@@ -14,8 +14,9 @@
     /// configuration have the same, and a route keeps it when operators rename it.
     pub pattern: String,
     /// Sets its ordering keys apart from those of other routes. A route keeps it when
-    /// operators rename it or change its pattern.
-    pub order_scope: String,
+    /// operators rename it or change its pattern, and shares it with routes that take over
+    /// requests of it.
+    pub order_scope: OrderScope,
     pub service: String,
     pub ordered: bool,
     pub max_attempts: u32,
@@ -37,6 +38,8 @@
     /// Pattern of the route; empty from a version that did not record it.
     pub pattern: &'a str,
     pub route_name: &'a str,
+    /// Its ordering key with the order scope; empty for none.
+    pub scoped_key: &'a str,
     pub host: &'a str,
     pub path: &'a str,
 }
@@ -57,7 +60,7 @@
             let compiled = CompiledRoute {
                 name: r.name.clone(),
                 pattern: route_pattern(&r.host, &r.prefix),
-                order_scope: order_scope(r).to_string(),
+                order_scope: order_scope(r),
                 service: r.service.clone(),
                 ordered: r.ordered,
                 max_attempts: r.max_attempts.max(1),
@@ -92,14 +95,18 @@
     /// That is the route with the pattern under which the message was accepted, whatever
     /// its name is now: operators may give a name to another route. If there is none,
     /// it is the route of the message's route name, as long as that is the one which
-    /// requests like the message's match now. A message of a version that recorded no
-    /// pattern is matched anew.
+    /// requests like the message's match now. A message with an ordering key goes on with the
+    /// route that they match now if that one continues its order scope: its own may have got
+    /// another name, and then another prefix. A message of a version that recorded no pattern
+    /// is matched anew.
     pub fn route_of(&self, message: &RoutedMessage) -> Option<&CompiledRoute> {
         if let Some(route) = self.by_pattern.get(message.pattern) {
             return Some(route);
         }
         let matched = self.find_match(message.host, message.path)?;
-        (message.pattern.is_empty() || matched.name == message.route_name).then_some(matched)
+        let continues_scope =
+            || split_scoped_key(message.scoped_key).is_some_and(|(scope, _)| matched.order_scope.continues(&scope));
+        (message.pattern.is_empty() || matched.name == message.route_name || continues_scope()).then_some(matched)
     }
     pub fn is_empty(&self) -> bool {
         self.by_pattern.is_empty()
--- a/crates/ingest/src/proxy/routed.rs
+++ b/crates/ingest/src/proxy/routed.rs
@@ -87,14 +87,15 @@
             self.counts.rejected += 1;
             return self.respond(request, unavailable("too much is under way here"));
         }
-        let key = match route.ordered {
-            true => format!("{}\u{1f}{}", route.order_scope, caller_request.key),
-            false => String::new(),
+        // A key is heeded whether the route is ordered now or not: it may become so while the
+        // message waits.
+        let key = match caller_request.key.is_empty() {
+            true => String::new(),
+            false => route.order_scope.scoped_key(&caller_request.key),
         };
-        let spool = self.link.rules.spool_partitions.max(1);
         let partition_number = match key.is_empty() {
             true => self.choose_partition(now),
-            false => Some((hash_of(key.as_bytes()) % u64::from(spool)) as u32),
+            false => Some(self.link.rules.spool_partition_of_key(&key)),
         };
         let Some(partition_number) = partition_number else {
             self.counts.rejected += 1;
@@ -125,6 +126,7 @@
             holds_slot: false,
             partition: Rules::spool_partition(partition_number),
             header,
+            config_version: self.link.rules.version,
             body,
             declared_new: true,
             refusal: None,
--- a/crates/queue/src/dispatch_queues.rs
+++ b/crates/queue/src/dispatch_queues.rs
@@ -43,6 +43,9 @@
     pub pending_by_key: BTreeMap<String, BTreeSet<u64>>,
     /// The message ids of all sequence numbers here.
     pub ids: BTreeMap<u64, MessageId>,
+    /// Routed messages that wait, or have waited, for messages of their ordering key which
+    /// other partitions store.
+    pub predecessor_checks: BTreeMap<u64, PredecessorCheck>,
     /// Attempts in flight, by the sequence number of their message.
     pub in_flight: BTreeMap<u64, DispatchedAttempt>,
 }
@@ -113,6 +116,7 @@
     pub fn finish_work(&mut self, header: &MessageHeader) -> Option<u64> {
         self.in_flight.remove(&header.seq);
         self.eligible_at.remove(&header.seq);
+        self.predecessor_checks.remove(&header.seq);
         match self.routed.get_mut(header.route_queue()) {
             Some(queue) => _ = queue.remove(header.seq),
             None if header.route.is_empty() => self.unrouted.retain(|(_, s)| *s != header.seq),
--- a/crates/queue/src/store/posts.rs
+++ b/crates/queue/src/store/posts.rs
@@ -196,7 +196,11 @@
             }
             for (pattern, due) in &lead.queues.routed {
                 let Some(first) = due.oldest_ready(now) else { continue };
-                let Some(route) = self.link.rules.routes.get(pattern) else { continue };
+                let Some(route) = self.link.rules.routes.get(pattern) else {
+                    // The next of a key whose first message has expired.
+                    self.routes_checked_version = Version::ZERO;
+                    continue;
+                };
                 let queue = ReadyQueue {
                     priority: route.priority,
                     oldest_due: first,
@@ -315,6 +319,9 @@
                 self.set_stage(partition, &id, next, None, now);
                 continue;
             }
+            if !is_callback && self.waits_for_predecessors(partition, &id, now) {
+                continue;
+            }
             let (mut header, body) = match self.header_and_body(partition, &id, is_callback) {
                 Ok(x) => x,
                 Err(is_corrupt) => {
--- a/crates/sim/src/mail.rs
+++ b/crates/sim/src/mail.rs
@@ -17,11 +17,15 @@
     /// Daemons keep the times of a startup file without any, not those of
     /// the templates.
     pub usual: bool,
+    /// The route `/turns/` is split and merged by the changes of the configuration.
+    pub splits: bool,
+    /// The first configuration has a route of its own for each part of `/turns/`.
+    pub parts: bool,
 }
 
 impl Default for Routing {
     fn default() -> Routing {
-        Routing { keys: 300, delayed: 10, worth: Span::secs(90), usual: false }
+        Routing { keys: 300, delayed: 10, worth: Span::secs(90), usual: false, splits: false, parts: false }
     }
 }
 
@@ -115,6 +119,46 @@
     r
 }
 
+/// An ordered route to the service `records`.
+fn turns_route(name: &str, prefix: &str, worth: Span) -> Value {
+    route(name, prefix, "records", 1000, worth, json!({"ordered": true, "attempts": 6, "priority": 1}))
+}
+
+/// The prefixes of the parts of `/turns/`.
+const TURNS_PARTS: [&str; 3] = ["/turns/b/", "/turns/c/", "/turns/d/"];
+
+/// A path below one of the parts, or below none.
+pub fn turns_path(draw: u64) -> String {
+    match TURNS_PARTS.get(draw as usize) {
+        Some(part) => format!("{part}x"),
+        None => "/turns/a?b=c".into(),
+    }
+}
+
+/// How many draws there are for the paths and changes below `/turns/`.
+pub const TURNS_DRAWS: u64 = 6;
+
+/// A change of the routes below `/turns/`, whose prefixes by name are given: one is split off,
+/// a route narrows while another takes the rest, or two become one. No change drops a
+/// waiting message: its pattern stays, or its route's name does.
+pub fn split_or_merge(prefixes: &BTreeMap<String, String>, draw: u64, worth: Span) -> Value {
+    const WHOLE: &str = "/turns/";
+    const NAMES: [&str; 5] = ["turns", "turns-b", "turns-c", "turns-d", "turns-e"];
+    let part_prefix = TURNS_PARTS[draw as usize % TURNS_PARTS.len()];
+    let of = |prefix: &str| prefixes.iter().find(|entry| entry.1 == prefix).map(|entry| entry.0.clone());
+    let unused = NAMES.into_iter().find(|name| !prefixes.contains_key(*name)).unwrap_or("turns");
+    let routes = match (of(WHOLE), of(part_prefix)) {
+        // The route of the part gets the prefix of both, and the other one goes.
+        (Some(whole), Some(part)) => vec![json!({"name": whole, "remove": true}), turns_route(&part, WHOLE, worth)],
+        // The whole narrows, and a new route has its prefix.
+        (Some(whole), None) if draw < TURNS_PARTS.len() as u64 => {
+            vec![turns_route(&whole, part_prefix, worth), turns_route(unused, WHOLE, worth)]
+        }
+        _ => vec![turns_route(unused, part_prefix, worth)],
+    };
+    json!({"routes": routes})
+}
+
 /// A route that comes and goes; every third one is ordered.
 pub fn extra_route(n: u64, worth: Span) -> Value {
     let ordered = n.is_multiple_of(3);
@@ -124,7 +168,8 @@
 }
 
 /// The configuration of a deployment that only passes routed messages on.
-pub fn routed_config(worth: Span) -> Value {
+pub fn routed_config(routing: &Routing) -> Value {
+    let worth = routing.worth;
     let services: Vec<Value> = TRADES
         .iter()
         .map(|t| {
@@ -136,9 +181,12 @@
         .collect();
     let mut routes = vec![
         route("bulk", "/bulk/", "sheets", 2500, worth, json!({"call_back": true})),
-        route("turns", "/turns/", "records", 1000, worth, json!({"ordered": true, "attempts": 6, "priority": 1})),
+        turns_route("turns", "/turns/", worth),
         route("steps", "/steps/", "ledgers", 1200, worth, json!({"ordered": true, "attempts": 6, "priority": 1})),
     ];
+    for (part, name) in TURNS_PARTS.iter().zip(["turns-b", "turns-c", "turns-d"]).filter(|_| routing.parts) {
+        routes.push(turns_route(name, part, worth));
+    }
     for n in 1..=3 {
         routes.push(route(
             &format!("push-{n}"),
--- a/crates/sim/src/world/control.rs
+++ b/crates/sim/src/world/control.rs
@@ -3,7 +3,8 @@
 
 /// A configuration's text for comparing, without what placement fills in.
 pub(super) fn plain(config: &Config) -> String {
-    let bare = Config { spool_partitions: 0, ..config.clone() };
+    let mut bare = Config { spool_partitions: 0, ..config.clone() };
+    bare.routes.iter_mut().for_each(|route| route.order_scope.clear());
     serde_json::to_value(&bare).unwrap_or_default().to_string()
 }
 
--- a/crates/sim/src/world/posting.rs
+++ b/crates/sim/src/world/posting.rs
@@ -65,6 +65,7 @@
                 (format!("/extra/{n}/x"), if ordered { skewed(self.rng.f64()) } else { String::new() })
             }
             0 => ("/bulk/2f".to_string(), String::new()),
+            1 if self.mail.routing.splits => (turns_path(self.rng.u64(..TURNS_DRAWS)), skewed(self.rng.f64())),
             1 => ("/turns/a?b=c".to_string(), skewed(self.rng.f64())),
             2 => ("/steps/a".to_string(), skewed(self.rng.f64())),
             _ => (format!("/push/{}/in", self.rng.u64(1..=3)), String::new()),
--- a/crates/versions/src/message_route.rs
+++ b/crates/versions/src/message_route.rs
@@ -8,6 +8,7 @@
     routes.route_of(&RoutedMessage {
         pattern: &header.route_pattern,
         route_name: &header.route,
+        scoped_key: &header.key,
         host: request.map_or("", |request| &request.host),
         path: request.map_or("", CallerRequest::path_without_query),
     })
